--- /dev/null
+++ b/internal/sidecar/world_test.go
@@ -0,0 +1,420 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+const settingsText = `{"areas":["a","b"],"skus":["m1"],"stages":["s"],"tenants":[],"discovery":"subscribe",
+ "classes":[
+ {"name":"read","repeat":"pure","target":600000,"give-up":3000000,"credit":1},
+ {"name":"pay","repeat":"token","group":"all","window":5000000,"target":600000,"give-up":3000000,"credit":1},
+ {"name":"close","repeat":"token","group":"cell","window":5000000,"target":600000,"give-up":3000000,"credit":1},
+ {"name":"order","repeat":"side_effect","target":600000,"give-up":3000000,"credit":1}],
+ "contract":{"answer-slack":20000,"ask-within":1000000,"cold-from":0.3,"drain-grace":1000000,"fall-multiple":2.5,"overload-for":1000000,"ramp-time":0},
+ "limits":{"cancel":true,"dial-timeout":2000000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":false,"retry-after":true,"second-copies":true},
+ "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":1,"position":0,"zone":0}`
+
+// endpoint is a TCP server whose answers a test writes byte by byte.
+type endpoint struct {
+	address string
+
+	mu       sync.Mutex
+	conns    int
+	requests []*http.Request // read by next
+}
+
+func newEndpoint(t *testing.T, serve func(e *endpoint, conn net.Conn, in *bufio.Reader)) *endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	e := &endpoint{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns++
+			e.mu.Unlock()
+			go func() {
+				defer conn.Close()
+				serve(e, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return e
+}
+
+// next reads a whole request, or returns nil when the connection has ended.
+func (e *endpoint) next(in *bufio.Reader) *http.Request {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil
+	}
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	e.mu.Lock()
+	e.requests = append(e.requests, r)
+	e.mu.Unlock()
+	return r
+}
+
+// seen counts the requests read and the connections accepted.
+func (e *endpoint) seen() (requests, conns int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests), e.conns
+}
+
+// request returns one of the requests read.
+func (e *endpoint) request(i int) *http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[i]
+}
+
+// always answers every request with the same bytes.
+func always(answer string) func(*endpoint, net.Conn, *bufio.Reader) {
+	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			io.WriteString(conn, answer)
+		}
+	}
+}
+
+const (
+	served  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	failing = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// silent takes requests and never answers.
+func silent(e *endpoint, conn net.Conn, in *bufio.Reader) {
+	for e.next(in) != nil {
+	}
+}
+
+// then answers the first request in one way and all others in another, over
+// all connections.
+func then(first, rest string) func(*endpoint, net.Conn, *bufio.Reader) {
+	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			if n, _ := e.seen(); n == 1 {
+				io.WriteString(conn, first)
+			} else {
+				io.WriteString(conn, rest)
+			}
+		}
+	}
+}
+
+// directory is a discovery service with one list.
+type directory struct {
+	address string
+
+	mu     sync.Mutex
+	list   registry
+	down   bool
+	broken string // an answer to give in place of the list
+	calls  []string
+	news   chan struct{} // closed and replaced with every change
+	conns  atomic.Int32  // open connections
+}
+
+func newDirectory(t *testing.T, hosts ...host) *directory {
+	t.Helper()
+	d := &directory{list: registry{Whole: true, Hosts: hosts}, news: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.address = listener.Addr().String()
+	server := &http.Server{Handler: d, ConnState: func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			d.conns.Add(1)
+		case http.StateClosed:
+			d.conns.Add(-1)
+		}
+	}}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return d
+}
+
+func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.calls = append(d.calls, r.URL.RawQuery)
+	after, wait, news := r.FormValue("after"), r.FormValue("wait_ms"), d.news
+	waits := after == fmt.Sprint(d.list.Seq) && wait != "0" && !d.down && d.broken == ""
+	d.mu.Unlock()
+	if waits {
+		select {
+		case <-news:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		json.NewEncoder(w).Encode(d.list) // which must not be believed
+	case d.broken != "":
+		io.WriteString(w, d.broken)
+	case after == fmt.Sprint(d.list.Seq):
+		json.NewEncoder(w).Encode(registry{Seq: d.list.Seq, Hosts: []host{}})
+	default:
+		json.NewEncoder(w).Encode(d.list)
+	}
+}
+
+// change alters the service and wakes the calls that wait.
+func (d *directory) change(alter func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	alter()
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+func (d *directory) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.calls)
+}
+
+// ready is discovery's entry for an endpoint.
+func ready(name, address string) host {
+	return host{Name: name, Dial: address, Site: "a", Class: "m1", Health: "Ready", Share: 1}
+}
+
+// spy passes everything on to the balancer and keeps what it was told.
+type spy struct {
+	decider
+	mu       sync.Mutex
+	outcomes []balancer.Outcome
+	events   []string
+	lists    []balancer.ListKind
+	probes   []balancer.Status
+	loads    [][]float32
+}
+
+func (s *spy) Outcome(now balancer.Micros, o balancer.Outcome) {
+	s.note(func() {
+		s.outcomes = append(s.outcomes, o)
+		s.events = append(s.events, "outcome")
+	})
+	s.decider.Outcome(now, o)
+}
+
+func (s *spy) Timer(now balancer.Micros, token uint32) {
+	if token >= 1<<20 { // names a request
+		s.note(func() { s.events = append(s.events, "timer") })
+	}
+	s.decider.Timer(now, token)
+}
+
+func (s *spy) ClientGone(now balancer.Micros, id uint64) {
+	s.note(func() { s.events = append(s.events, "gone") })
+	s.decider.ClientGone(now, id)
+}
+
+func (s *spy) Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
+	s.decider.Members(now, kind, entries)
+	s.note(func() { s.lists = append(s.lists, kind) })
+}
+
+func (s *spy) Probed(now balancer.Micros, id uint32, status balancer.Status, latency balancer.Micros, load []float32) {
+	s.note(func() { s.probes, s.loads = append(s.probes, status), append(s.loads, load) })
+	s.decider.Probed(now, id, status, latency, load)
+}
+
+func (s *spy) note(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// statuses returns how the attempts ended so far.
+func (s *spy) statuses() (all []balancer.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.outcomes {
+		all = append(all, o.Status)
+	}
+	return all
+}
+
+// world is a running sidecar with its surroundings.
+type world struct {
+	t      *testing.T
+	url    string
+	loop   *loop
+	server *server
+	spy    *spy
+	dir    *directory
+	stop   context.CancelFunc // as SIGTERM does
+	ended  chan error
+}
+
+// configure returns a configuration that knows the given list.
+func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...host) *Config {
+	t.Helper()
+	var settings map[string]any
+	if err := json.Unmarshal([]byte(settingsText), &settings); err != nil {
+		t.Fatal(err)
+	}
+	if alter != nil {
+		alter(settings)
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"known":  registry{Whole: true, Hosts: hosts}, "settings": settings})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := parseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// start runs a sidecar that knows these endpoints, and waits until it is ready.
+func start(t *testing.T, alter func(settings map[string]any), hosts ...host) *world {
+	t.Helper()
+	w := &world{t: t, dir: newDirectory(t, hosts...)}
+	w.launch(configure(t, w.dir.address, alter, hosts...))
+	w.until("ready", func() bool {
+		response, err := http.Get(w.url + "/health/ready")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return w
+}
+
+// launch runs a sidecar until the test ends.
+func (w *world) launch(cfg *Config) {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.ended = make(chan error, 1)
+	w.url = "http://" + listener.Addr().String()
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	w.loop, err = newLoop(loopCtx, cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.spy = &spy{decider: w.loop.balancer}
+	w.loop.balancer = w.spy
+	w.server = newServer(w.loop)
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() {
+		w.ended <- w.server.serve(ctx, listener)
+		stopLoop()
+	}()
+	w.t.Cleanup(func() {
+		stop()
+		w.server.http.Close()
+	})
+}
+
+// until waits for something to become true.
+func (w *world) until(what string, is func() bool) {
+	w.t.Helper()
+	await(w.t, what, is)
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// do runs f in the loop and waits for it.
+func (w *world) do(f func()) {
+	w.t.Helper()
+	done := make(chan struct{})
+	w.loop.post(func(balancer.Micros) {
+		f()
+		close(done)
+	})
+	<-done
+}
+
+var lastID atomic.Uint32 // of requests made by request
+
+// request makes a client's request of a class.
+func (w *world) request(class, body string, timeLeft time.Duration) *http.Request {
+	w.t.Helper()
+	method := http.MethodPost
+	if class == "read" {
+		method, body = http.MethodGet, ""
+	}
+	r, err := http.NewRequest(method, w.url+"/"+class+"/x%2Fy?q=1", strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Header.Set("X-Correlation-Id", fmt.Sprintf("9b1f03aa%08x", lastID.Add(1)))
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(timeLeft.Milliseconds()))
+	if class == "pay" || class == "close" {
+		r.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59")
+	}
+	return r
+}
+
+// reply is a final answer as a client sees it.
+type reply struct {
+	code   int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (w *world) send(r *http.Request) reply {
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := (&http.Client{Transport: transport, Timeout: patience}).Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(body), err}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,201 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"peatpost/balancer"
+)
+
+// settingsText holds the pairs of a config text and the first error met.
+type settingsText struct {
+	pairs map[string]string
+	err   error
+}
+
+// get returns the value of a key, parsed; a key that is absent gives def.
+func get[T any](t *settingsText, key string, def T, what string, parse func(string) (T, error)) T {
+	text, ok := t.pairs[key]
+	if !ok {
+		return def
+	}
+	v, err := parse(text)
+	if err != nil {
+		if t.err == nil {
+			t.err = &balancer.SettingError{Key: key, Value: text, Reason: "not " + what}
+		}
+		return def
+	}
+	return v
+}
+
+func (t *settingsText) number(key string, def float64) float64 {
+	return get(t, key, def, "a finite number", func(s string) (float64, error) {
+		v, err := strconv.ParseFloat(s, 64)
+		if err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
+			err = strconv.ErrRange
+		}
+		return v, err
+	})
+}
+
+func (t *settingsText) whole(key string, def int64) int64 {
+	return get(t, key, def, "a whole number", func(s string) (int64, error) {
+		return strconv.ParseInt(s, 10, 64)
+	})
+}
+
+func (t *settingsText) flag(key string, def bool) bool {
+	return get(t, key, def, "true or false", strconv.ParseBool)
+}
+
+// word returns the meaning of a word; what an unlisted word means is an error.
+func word[T any](t *settingsText, key string, def T, words map[string]T) T {
+	return get(t, key, def, "a known word", func(s string) (T, error) {
+		if v, ok := words[s]; ok {
+			return v, nil
+		}
+		return def, strconv.ErrSyntax
+	})
+}
+
+// count returns the length of a list of objects, each of which must be there.
+func (t *settingsText) count(key string, required bool) int {
+	if _, ok := t.pairs[key+".count"]; !ok && required && t.err == nil {
+		t.err = &balancer.SettingError{Key: key + ".count", Value: "", Reason: "is missing"}
+	}
+	n := t.whole(key+".count", 0)
+	if n < 0 || n > 256 {
+		if t.err == nil {
+			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10), Reason: "out of range"}
+		}
+		return 0
+	}
+	for i := range int(n) {
+		found := false
+		for k := range t.pairs {
+			if strings.HasPrefix(k, fmt.Sprintf("%s.%d.", key, i)) {
+				found = true
+				break
+			}
+		}
+		if !found && t.err == nil {
+			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10),
+				Reason: fmt.Sprintf("%s.%d is missing", key, i)}
+		}
+	}
+	return int(n)
+}
+
+// items counts the comma-separated items of a list of plain values.
+func items(text string) int {
+	if text == "" {
+		return 0
+	}
+	return strings.Count(text, ",") + 1
+}
+
+var fieldNames = map[string]balancer.Field{
+	"busy_reqs": balancer.FieldInflight, "pending": balancer.FieldQueue, "cpu_share": balancer.FieldUtil,
+	"svc_ms": balancer.FieldLatency, "served_ps": balancer.FieldServed, "failed_ps": balancer.FieldErrors,
+}
+
+// ParseSettings reads the config text of a begin record. Keys that it does not
+// know are skipped. Errors are *balancer.SettingError and name the key on the wire.
+func ParseSettings(text string) (balancer.Settings, error) {
+	t := &settingsText{pairs: map[string]string{}}
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSuffix(line, "\r")
+		if line == "" {
+			continue
+		}
+		key, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return balancer.Settings{}, &balancer.SettingError{Key: fmt.Sprintf("line %d", i+1), Value: line,
+				Reason: "not of the form path=value"}
+		}
+		t.pairs[key] = value
+	}
+	s := balancer.Settings{
+		Balancers: int(t.whole("peers-total", 1)),
+		Position:  int(t.whole("position", 0)),
+		Zone:      int(t.whole("zone", 0)),
+		Zones:     items(t.pairs["areas"]),
+		Kinds:     items(t.pairs["skus"]),
+		Subscribe: word(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
+		Tick:      t.whole("tick", 0),
+		Limits: balancer.Limits{
+			Cancel:        t.flag("limits.cancel", false),
+			Probes:        t.flag("limits.probes", false),
+			SecondCopies:  t.flag("limits.second-copies", false),
+			RetryAfter:    t.flag("limits.retry-after", false),
+			Tell:          t.flag("limits.may-tell", false),
+			MaxAttempts:   int(t.whole("limits.most-tries", 1)),
+			MaxOpen:       int(t.whole("limits.most-held", math.MaxInt32)),
+			MaxRetryAfter: t.whole("limits.max-retry-after", 0),
+			DialTimeout:   t.whole("limits.dial-timeout", 0),
+		},
+		Contract: balancer.Contract{
+			DrainGrace:   t.whole("contract.drain-grace", 0),
+			ColdFrom:     t.number("contract.cold-from", 1),
+			RampTime:     t.whole("contract.ramp-time", 0),
+			FallMultiple: t.number("contract.fall-multiple", 1),
+			OverloadFor:  t.whole("contract.overload-for", 0),
+			AskWithin:    t.whole("contract.ask-within", 10_000_000),
+			AnswerSlack:  t.whole("contract.answer-slack", 0),
+		},
+		Prices: balancer.Prices{
+			CrossZone: t.number("prices.cross-zone", 0),
+			Probe:     t.number("prices.probe", 0),
+			Waste:     t.number("prices.waste", 0),
+			LateFail:  t.number("prices.late-fail", 0),
+		},
+		Goal: balancer.Goal{
+			Whole:       t.number("goal.whole", 1),
+			WorstWindow: t.number("goal.worst-window", 0),
+			WorstClass:  t.number("goal.worst-class", 0),
+			WorstTenant: t.number("goal.worst-tenant", 0),
+		},
+		OverShareWorth: t.number("over-share-worth", 1),
+		WorthByWork: word(t, "value-by", false,
+			map[string]bool{"request": false, "work": true}),
+	}
+	how := word(t, "reporting.how", "none", map[string]string{"answers": "answers", "probe": "probe", "none": "none"})
+	if fields := t.pairs["reporting.fields"]; how != "none" && fields != "" {
+		for _, f := range strings.Split(fields, ",") {
+			s.Fields = append(s.Fields, fieldNames[f])
+		}
+	}
+	for i := range t.count("classes", true) {
+		at := fmt.Sprintf("classes.%d.", i)
+		for _, key := range [...]string{"target", "give-up", "repeat"} {
+			if _, ok := t.pairs[at+key]; !ok && t.err == nil {
+				t.err = &balancer.SettingError{Key: at + key, Value: "", Reason: "is missing"}
+			}
+		}
+		s.Classes = append(s.Classes, balancer.Class{
+			Name: t.pairs[at+"name"],
+			Repeat: word(t, at+"repeat", balancer.Unsafe, map[string]balancer.Repeat{
+				"pure": balancer.Safe, "token": balancer.Keyed, "side_effect": balancer.Unsafe}),
+			Group: word(t, at+"group", balancer.GroupCell, map[string]balancer.Group{
+				"all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell}),
+			Window:    t.whole(at+"window", 0),
+			Aim:       t.whole(at+"target", 0),
+			GiveUp:    t.whole(at+"give-up", 0),
+			Worth:     t.number(at+"credit", 1),
+			LateWorth: t.number(at+"late-value", 0),
+			Stream:    t.flag(at+"stream", false),
+		})
+	}
+	for i := range t.count("tenants", false) {
+		at := fmt.Sprintf("tenants.%d.", i)
+		s.Tenants = append(s.Tenants, balancer.Tenant{
+			Name:      t.pairs[at+"name"],
+			Allowance: t.number(at+"allowance-per-s", 0),
+			Share:     t.number(at+"share", 0),
+		})
+	}
+	return s, t.err
+}
