Log what the module counted, every two seconds

The log said that requests were refused for lateness, not how many, for which reason, or what the module held to be true then. Stats counts requests, sends, refusals by reason, outcomes and probes, and shows load, pace and slowdown; the loop writes the differences, with those of the connections.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -131,6 +131,7 @@
 	r.out++
 	e.inflight++
 	e.sentAt = now
+	b.stats.Sends++
 	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, 0)
 	if len(r.attempts) == 1 {
@@ -154,12 +155,14 @@
 		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).Aim))
 		after = min(after, b.s.Limits.MaxRetryAfter)
 	}
+	b.stats.Refused++
 	b.out.Refuse(r.ID, after)
 	b.end(r)
 }
 
 func (b *Balancer) fail(r *request) {
 	if !r.ended {
+		b.stats.Failed++
 		b.out.Fail(r.ID)
 		b.end(r)
 	}
@@ -433,6 +436,7 @@
 		return
 	}
 	e.probing = false
+	b.stats.Probes[min(status, Moot)]++
 	if status == OK || status == Error || status == Full {
 		e.heardAt = now
 	}
@@ -444,6 +448,7 @@
 		b.heard(now, e)
 		return
 	}
+	b.stats.ProbeLatency += latency
 	// The quickest answer of its zone is the way there and back alone; what one took beyond, it waited in line.
 	way := &b.ways[e.Zone]
 	way.add(float64(latency), wayRise)
@@ -702,6 +707,7 @@
 		return
 	}
 	r := b.newRequest(now, in)
+	b.stats.Requests++
 	b.demand.add(now, 1)
 	b.credit = min(budgetBurst, b.credit+retryShare)
 	b.copies = min(budgetBurst, b.copies+copyShare)
@@ -730,6 +736,7 @@
 	r.value = b.value(now, r)
 	e := b.pick(now, r, nil)
 	if e == nil {
+		b.stats.NoEndpoint++
 		return false
 	}
 	x, most := b.predict(now, e, r.work), b.room(now, r, e)
@@ -741,6 +748,7 @@
 		c := &b.classes[r.Class]
 		c.since++
 		if !first || c.since < b.passOf || now-c.passed < forcedPass {
+			b.stats.TooLate++
 			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f ms",
 				100*b.refused.v, e.ID, x/1000, most/1000)
 			return false
@@ -750,6 +758,7 @@
 	}
 	if !b.allows(now, r, e) {
 		if e = b.pick(now, r, e); e == nil || !b.allows(now, r, e) {
+			b.stats.Broken++
 			return false
 		}
 	}
@@ -923,8 +932,11 @@
 // record feeds an outcome to the averages.
 func (b *Balancer) record(now Micros, r *request, a *attempt, status Status, latency Micros) {
 	e := a.ep
+	b.stats.Outcomes[min(status, Moot)]++
 	switch status {
 	case OK:
+		b.stats.Expected += Micros(a.expected)
+		b.stats.Latency += latency
 		e.br.count(now, 1, 0)
 		e.br.latency(float64(latency))
 		e.errs, e.errAt = (1-failWeight)*e.failing(now), now
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -50,6 +50,7 @@
 	trend       float64 // latencies over those predicted, for all endpoints together
 
 	logged map[string]Micros // last line by topic
+	stats  Stats
 }
 
 // classStats is what a balancer knows of a class.
--- /dev/null
+++ b/balancer/stats.go
@@ -0,0 +1,65 @@
+package balancer
+
+import "fmt"
+
+// Stats counts what a balancer did since its start, and shows what it holds to be so now. The counts only
+// grow: on-call staff read them as differences between two lines.
+type Stats struct {
+	Requests, Sends, Refused, Failed uint64
+
+	// Why an attempt was not sent: no endpoint may be sent to, it would come too late, or the breakers of two
+	// picks refused by lot.
+	NoEndpoint, TooLate, Broken uint64
+
+	Outcomes [Moot + 1]uint64 // of attempts, by status
+	Probes   [Moot + 1]uint64 // by status
+
+	Expected, Latency Micros // sums over the attempts answered OK
+	ProbeLatency      Micros // sum over the probes answered OK
+
+	Open, InFlight, Listed, Cold, Ejected, Pooled int
+
+	Load        float64 // of others at an endpoint, usually
+	Pace        float64 // of the fleet: time taken per predicted work
+	Slowdown    float64 // of latencies beyond those predicted, all endpoints together
+	RefusedOf   float64 // share of requests refused at arrival, of late
+	ReportsLate bool
+}
+
+// Stats returns the counts so far and the state at this instant.
+func (b *Balancer) Stats(now Micros) Stats {
+	s := b.stats
+	s.Open, s.Listed = b.open, len(b.list)
+	for _, e := range b.list {
+		s.InFlight += e.inflight
+		s.Cold += int(share(e.cold(now, b)))
+		s.Ejected += int(share(e.ejected(now)))
+		s.Pooled += int(share(e.pooled))
+	}
+	s.Load, s.Pace, s.Slowdown = b.usual.v, b.fleet.or(1), b.slowdown()
+	s.RefusedOf, s.ReportsLate = b.refused.v, b.reportsLate
+	return s
+}
+
+// Since writes the counts of s beyond those of an earlier one, and the state of s, as name=value pairs.
+func (s *Stats) Since(old *Stats) string {
+	mean := func(sum Micros, n uint64) float64 { return float64(sum) / 1000 / float64(max(1, n)) }
+	statuses := func(now, was *[Moot + 1]uint64) (text string) {
+		for i, name := range [...]string{"ok", "error", "full", "timeout", "connect", "reset", "cancelled", "moot"} {
+			if n := now[i] - was[i]; n > 0 {
+				text += fmt.Sprintf(" %s:%d", name, n)
+			}
+		}
+		return "[" + text[min(1, len(text)):] + "]"
+	}
+	ok, probed := s.Outcomes[OK]-old.Outcomes[OK], s.Probes[OK]-old.Probes[OK]
+	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d outcomes=%s "+
+		"expected_ms=%.1f latency_ms=%.1f probes=%s probe_ms=%.2f open=%d inflight=%d listed=%d cold=%d ejected=%d "+
+		"pooled=%d load=%.2f pace=%.2f slowdown=%.2f refused_share=%.2f reports_late=%v",
+		s.Requests-old.Requests, s.Sends-old.Sends, s.Refused-old.Refused, s.Failed-old.Failed,
+		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, statuses(&s.Outcomes, &old.Outcomes),
+		mean(s.Expected-old.Expected, ok), mean(s.Latency-old.Latency, ok),
+		statuses(&s.Probes, &old.Probes), mean(s.ProbeLatency-old.ProbeLatency, probed),
+		s.Open, s.InFlight, s.Listed, s.Cold, s.Ejected, s.Pooled,
+		s.Load, s.Pace, s.Slowdown, s.RefusedOf, s.ReportsLate)
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -13,6 +13,7 @@
 const (
 	eventsMost = 1024 // waiting for the loop
 	pruneEvery = time.Second
+	statsEvery = 2 * time.Second
 )
 
 // clock gives the balancer's time: microseconds that never run backwards, from
@@ -37,6 +38,7 @@
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
+	Stats(now balancer.Micros) balancer.Stats
 }
 
 // loop owns the balancer: one goroutine passes it every event and carries out
@@ -61,6 +63,8 @@
 	fleet     map[uint32]*member
 	seq       *uint64 // version of the last list, if there was any
 	stopWatch context.CancelFunc
+	stats     balancer.Stats // when last recorded, as are dials
+	dials     upCounts
 }
 
 // member is what the loop holds of an endpoint until it is gone and nothing is
@@ -117,18 +121,32 @@
 	}
 	prune := time.NewTicker(pruneEvery)
 	defer prune.Stop()
+	stats := time.NewTicker(statsEvery)
+	defer stats.Stop()
 	for {
 		select {
 		case event := <-l.events:
 			event(l.clock.now())
 		case <-prune.C:
 			l.up.prune()
+		case <-stats.C:
+			l.logStats(l.clock.now())
 		case <-l.ctx.Done():
 			return
 		}
 	}
 }
 
+// logStats records what was counted since the last such line; a quiet time leaves none.
+func (l *loop) logStats(now balancer.Micros) {
+	stats, up := l.balancer.Stats(now), l.up.counts()
+	if stats.Requests != l.stats.Requests {
+		l.log.Info("counts", "of", stats.Since(&l.stats), "dials", up.dials-l.dials.dials,
+			"dial_failed", up.failed-l.dials.failed, "no_connection", up.full-l.dials.full, "connections", up.open, "waiting_events", len(l.events))
+	}
+	l.stats, l.dials = stats, up
+}
+
 // post hands an event to the loop. It must not be called from the loop.
 func (l *loop) post(event func(now balancer.Micros)) {
 	select {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -39,10 +39,24 @@
 	idleMost time.Duration // idle connections are not used for longer
 	fields   []string      // of load reports
 
-	mu   sync.Mutex
-	open int // connections, those being dialled included
-	most int
-	idle map[*target][]*conn // by endpoint, the latest used last
+	mu                  sync.Mutex
+	open                int // connections, those being dialled included
+	most                int
+	idle                map[*target][]*conn // by endpoint, the latest used last
+	dials, failed, full uint64
+}
+
+// upCounts tells of connections to endpoints: those open now and, since the start, those dialled, those that
+// never came up, and the attempts and probes that found no room for one.
+type upCounts struct {
+	open                int
+	dials, failed, full uint64
+}
+
+func (u *upstream) counts() upCounts {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return upCounts{u.open, u.dials, u.failed, u.full}
 }
 
 // target is one life of an endpoint at one address. It is closed for good once
@@ -210,6 +224,7 @@
 	if err != nil {
 		u.mu.Lock()
 		u.open--
+		u.failed++
 		u.mu.Unlock()
 		return nil, err
 	}
@@ -244,9 +259,11 @@
 		}
 	}
 	if u.open >= u.most {
+		u.full++
 		return nil, errFull
 	}
 	u.open++
+	u.dials++
 	return nil, nil
 }
 
