Hold latencies against predictions that do not hold the slowdown themselves

Cause: the trend of latencies over predictions was multiplied by each outcome's ratio to a prediction that held the trend. All that were sent before it rose raised it again, up to 8. Then all was refused as too late, no outcome came to show the end of the slowness, and the slowdown stayed.

The trend is now a mean of the ratios to pace and load alone, and fades while nothing is answered.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -124,8 +124,9 @@
 	if e.cold(now, b) {
 		e.room -= r.work * coldCharge
 	}
-	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now,
-		expected: b.predict(now, e, r.work), factor: r.work * b.crowding(e), out: true, mayRun: true}
+	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, expected: b.predict(now, e, r.work),
+		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), factor: r.work * b.crowding(e),
+		out: true, mayRun: true}
 	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -522,7 +523,7 @@
 
 // predict is the latency expected of a request of this work sent to e now.
 func (b *Balancer) predict(now Micros, e *endpoint, work float64) float64 {
-	return b.ways[e.Zone].v + work*b.slowdown()*e.paceNow(now, b)*b.crowding(e)
+	return b.ways[e.Zone].v + work*b.slowdown(now)*e.paceNow(now, b)*b.crowding(e)
 }
 
 // failing is the recent share of failures at e; it fades, so that e is tried again.
@@ -681,9 +682,9 @@
 	copyShare   = 0.2  // second copies earned by each request
 	trustWeight = 0.005
 	trendWeight = 0.1
-	trendStep   = 4.0 // one outcome counts as no more than this many times the prediction
+	trendStep   = 5.0 // one outcome counts as no more than this many times the prediction
 	trendNoise  = 1.5
-	trendMost   = 8.0
+	trendLife   = second
 	failWeight  = 0.5  // of the latest outcome in an endpoint's share of failures: healthy ones hardly ever fail
 	wayWeight   = 0.25 // the same for a failure of the way there: connections break at healthy endpoints, too
 	lateFactor  = 2.5  // times the latency expected, and
@@ -740,7 +741,7 @@
 		return false
 	}
 	x, most := b.predict(now, e, r.work), b.room(now, r, e)
-	if x > most && (b.crowding(e) > 1 || b.slowdown() > 1) {
+	if x > most && (b.crowding(e) > 1 || b.slowdown(now) > 1) {
 		// It would come too late to be worth its work: not where nobody waits while the fleet is well, since
 		// few samples of a long-tailed latency make a healthy endpoint look hopeless. As with the breaker, one
 		// passes now and then, so that a wrong guess does not feed itself: of so many, since a pass a second
@@ -768,7 +769,7 @@
 // room is the longest predicted latency at which r is still sent to e: its time there without a queue, and
 // a part of what the aim leaves for waiting. Classes of little value for their work give way first.
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
-	alone := b.ways[e.Zone].v + r.work*b.slowdown()*e.paceNow(now, b)
+	alone := b.ways[e.Zone].v + r.work*b.slowdown(now)*e.paceNow(now, b)
 	share := max(roomLeast, roomMost*r.value)
 	if n := len(r.attempts); b.reportsLate || n > 0 && r.attempts[n-1].late {
 		// Either the least loaded endpoint is not known, and averages must not refuse what it would serve,
@@ -974,7 +975,7 @@
 	if atLeast && (x <= e.paceNow(now, b) || e.answered > a.at) {
 		return
 	}
-	b.follow(latency / a.expected)
+	b.follow(now, latency/a.plain)
 	if !atLeast && r.hint != 0 && x > 0 {
 		// Rough hints overstate the large and understate the small: learn how far they tell.
 		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/e.paceNow(now, b))))
@@ -996,10 +997,17 @@
 }
 
 // follow shifts what is expected of every endpoint by one outcome: when the whole fleet turns slow, or
-// recovers, the paces of endpoints that see little of our traffic are learned far too late.
-func (b *Balancer) follow(ratio float64) {
-	b.trend = min(trendMost, max(1/trendMost, b.trend*(1+trendWeight*(min(ratio, trendStep)-1))))
+// recovers, the paces of endpoints that see little of our traffic are learned far too late. The outcome is
+// held against what its endpoint's pace and load alone made expected: with the trend in that as well, all
+// that were sent before it rose would raise it again, far beyond the slowness that there is.
+func (b *Balancer) follow(now Micros, ratio float64) {
+	b.trend += (min(ratio, trendStep) - b.trend) * trendWeight
+	b.trendAt = now
 }
 
-// slowdown is the trend beyond what chance makes of it.
-func (b *Balancer) slowdown() float64 { return max(1, b.trend/trendNoise) }
+// slowdown is the trend beyond what chance makes of it. It fades while nothing is answered: refusals that it
+// causes would else keep away the very outcomes that show its end.
+func (b *Balancer) slowdown(now Micros) float64 {
+	trend := 1 + (b.trend-1)*math.Exp(-float64(now-b.trendAt)/float64(trendLife))
+	return max(1, trend/trendNoise)
+}
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -276,6 +276,35 @@
 	}
 }
 
+// What was sent before a slowness was noticed must not be held against it twice: many are out at once, and
+// their outcomes all come later.
+func TestSlowdownIsNoLargerThanItIs(t *testing.T) {
+	b, r := start(t, testSettings(), ready(4))
+	now := second
+	for id := range uint64(60) {
+		b.Request(now, Request{ID: id, Deadline: now + second, Hint: 10_000, HasHint: true})
+	}
+	if len(r.sends) != 60 {
+		t.Fatalf("%d of 60 sent", len(r.sends))
+	}
+	for _, s := range r.sends {
+		latency := Micros(2 * b.requests[s.id].attempts[0].expected)
+		b.Outcome(now+100_000, Outcome{ID: s.id, Endpoint: s.endpoint, Status: OK, Latency: latency, Settled: true})
+	}
+	if got := b.slowdown(now + 100_000); got < 1.1 || got > 2 {
+		t.Errorf("slowdown %.2f after 60 outcomes of twice the prediction", got)
+	}
+}
+
+// A slowdown that refuses all must not outlive the slowness for want of outcomes.
+func TestSlowdownFadesWithoutOutcomes(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(4))
+	b.trend, b.trendAt = trendStep, second
+	if at, later := b.slowdown(second), b.slowdown(4*second); at < 2 || later != 1 {
+		t.Errorf("slowdown %.2f at the last outcome, %.2f three seconds after it", at, later)
+	}
+}
+
 // A hint must count for as much as it tells, or idle endpoints refuse what is only said to be large.
 func TestTrustInHintsIsLearned(t *testing.T) {
 	for _, c := range []struct {
@@ -430,10 +459,10 @@
 func TestPassesThatFailGetRarer(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
 	b.classes[0].work.v = float64(100 * second)
-	b.trend = trendMost
 	passed := [2]int{}
 	for i := range uint64(400) {
 		now := 10*second + Micros(i)*second
+		b.Probed(now, 1, OK, 500, []float32{50})
 		b.Request(now, request0(i, 0, now))
 		if n := len(r.sends); n > 0 && r.sends[n-1].id == i {
 			passed[i/200]++
@@ -445,7 +474,7 @@
 	}
 	b.passOf = passMost
 	r.sends = nil
-	b.trend, b.classes[0].work.v = 1, 1000
+	b.classes[0].work.v = 1000
 	b.Request(500*second, request0(1000, 0, 500*second))
 	b.Outcome(501*second, Outcome{ID: 1000, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
 	b.Request(502*second, request0(1001, 0, 502*second))
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -47,7 +47,8 @@
 	usual       ewma // load of others at an endpoint, over all answers
 	reportsLate bool
 	trust       float64 // power of a hint that work grows with
-	trend       float64 // latencies over those predicted, for all endpoints together
+	trend       float64 // latencies over those that pace and load predict, for all endpoints together
+	trendAt     Micros
 
 	logged map[string]Micros // last line by topic
 	stats  Stats
@@ -86,7 +87,8 @@
 	zone     uint8 // of ep when sent: an endpoint may move
 	cell     uint16
 	at       Micros
-	expected float64 // latency predicted when sent
+	expected float64 // latency predicted when sent,
+	plain    float64 // and by the endpoint's pace and load alone
 	factor   float64 // work times the crowding seen when sent
 	lateAt   Micros  // when it should have had its outcome long ago
 	doubted  bool    // that has passed once
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -36,7 +36,7 @@
 		s.Ejected += int(share(e.ejected(now)))
 		s.Pooled += int(share(e.pooled))
 	}
-	s.Load, s.Pace, s.Slowdown = b.usual.v, b.fleet.or(1), b.slowdown()
+	s.Load, s.Pace, s.Slowdown = b.usual.v, b.fleet.or(1), b.slowdown(now)
 	s.RefusedOf, s.ReportsLate = b.refused.v, b.reportsLate
 	return s
 }
