Take the way to a zone as a median, and its jitter not for a line of requests

Cause: the way was the quickest probe answer, rising by 1% of a slower one. Whatever a probe took beyond it counted as requests that it waited behind. The first probes, before any traffic, were answered in 0.2 to 0.4 ms, all later ones from the far zones in 11 to 25 ms: for ten seconds and more nearly all of these passed for waiting, and later those that jitter made late.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -305,10 +305,9 @@
 	holdPart     = 0.1         // of its aim, at most, a request waits for the probes asked for it
 	askedAge     = 0.25        // of its aim, at most, may a figure be old where probes go with requests
 	probeBatch   = 3           // endpoints a round
-	wayRise      = 0.01        // weight of a slower probe answer: the way to a zone seldom changes
 	waitsTell    = 0.05        // share of probes that waited from which all are taken to stand in line
 	usualWeight  = 0.1         // of the latest answer in the usual load
-	lineLeast    = 0.5         // requests a probe must have waited for to count: less is jitter
+	lineLeast    = 0.5         // requests a probe must have waited for to count
 	ownTells     = 0.1         // own requests held at an endpoint from which own counts tell its load
 	drawTries    = 8           // random draws before the list is gone through
 	poolAge      = second      // an answer is fresh for this long,
@@ -450,11 +449,6 @@
 		return
 	}
 	b.stats.ProbeLatency += latency
-	// The quickest answer of its zone is the way there and back alone; what one took beyond, it waited in line.
-	way := &b.ways[e.Zone]
-	way.add(float64(latency), wayRise)
-	way.v = min(way.v, float64(latency))
-	waited := float64(latency) - way.v
 	held, queue := figure(b.s.Fields, load, FieldInflight), figure(b.s.Fields, load, FieldQueue)
 	hasHeld, util := held >= 0, figure(b.s.Fields, load, FieldUtil)
 	// Each figure proves that at least so much is held there.
@@ -463,9 +457,16 @@
 	} else if !hasHeld && util >= 0 {
 		held = min(util, 1) * cores
 	}
-	line := b.line(waited)
+	// What one takes beyond the way there and back, and beyond what that sways, it waited in line.
+	way := &b.ways[e.Zone]
+	if held < 1 || way.n == 0 {
+		way.add(float64(latency))
+	}
+	line := b.line(way.beyond(float64(latency)))
 	b.waits.add(share(line >= lineLeast), shareWeight)
+	b.stats.Held += max(0, held)
 	if held >= 0 && line >= lineLeast {
+		b.stats.Lined++
 		held = max(held, cores+line)
 	}
 	if held >= 0 {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -424,6 +424,46 @@
 	}
 }
 
+// The way to a far zone varies by as much as a request's work takes: that is no line of requests there. Nor may
+// a quick answer or two make all later ones seem to have waited.
+func TestWayThatVariesIsNoLine(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		quick int
+	}{{"ways vary", 0}, {"quick answers at the start", 3}} {
+		s := testSettings()
+		s.Classes[0].Aim = 50_000
+		b, _ := start(t, s, ready(2))
+		var noise source = 5
+		now := Micros(1000)
+		probed := func(latency Micros, held float32) {
+			now += 100_000
+			b.Probed(now, 1, OK, latency, []float32{held})
+		}
+		for range c.quick {
+			probed(200, 0)
+		}
+		for range 10 {
+			probed(11_000+noise.below(4000), 0)
+		}
+		if way := b.ways[0].v; way < 11_000 || way > 15_000 {
+			t.Errorf("%s: a way of %.0f us, want 11 to 15 ms", c.name, way)
+		}
+		lined := 0
+		for range 100 {
+			probed(11_000+noise.below(6000), 0)
+			lined += int(share(b.load(b.byID[1]) > 0))
+		}
+		if lined > 5 {
+			t.Errorf("%s: %d of 100 probes of an idle endpoint show a load", c.name, lined)
+		}
+		probed(60_000, 0)
+		if got := b.load(b.byID[1]); got < cores {
+			t.Errorf("%s: load %v after a probe that waited 47 ms", c.name, got)
+		}
+	}
+}
+
 // Only idle endpoints answer a probe in time. In a jam the silent ones must count, or the fleet looks idle.
 func TestSilentProbesCountAsLoad(t *testing.T) {
 	s := testSettings()
@@ -509,7 +549,7 @@
 		list[i].Zone = uint8(i % 2)
 	}
 	b, r := start(t, s, list)
-	b.ways[0], b.ways[1] = ewma{v: 500, seen: true}, ewma{v: 30_000, seen: true}
+	b.ways[0], b.ways[1] = way{v: 500, n: 1}, way{v: 30_000, n: 1}
 	b.Timer(second, tokenProbe)
 	for id := range uint64(20) {
 		b.Request(2*second, request0(id, 0, 2*second))
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -31,16 +31,16 @@
 	askWait    Micros
 
 	classes  []classStats
-	tenants  []meter   // requests taken, by tenant
-	ways     [256]ewma // least time of a probe to each zone and back
-	fleet    ewma      // pace of the whole fleet
-	demand   meter     // requests taken
-	sentWork meter     // work sent
-	refused  ewma      // share of requests refused at arrival
-	passOf   int       // requests that seem too late for one that is sent
-	credit   float64   // retry budget, in attempts
-	copies   float64   // budget of second copies
-	lost     ewma      // share of attempts that were swallowed
+	tenants  []meter  // requests taken, by tenant
+	ways     [256]way // to each zone
+	fleet    ewma     // pace of the whole fleet
+	demand   meter    // requests taken
+	sentWork meter    // work sent
+	refused  ewma     // share of requests refused at arrival
+	passOf   int      // requests that seem too late for one that is sent
+	credit   float64  // retry budget, in attempts
+	copies   float64  // budget of second copies
+	lost     ewma     // share of attempts that were swallowed
 
 	waits       ewma // share of probes that waited in line
 	lag         ewma // share of load reports that must be late
@@ -158,6 +158,42 @@
 	return fallback
 }
 
+// way is the time of a probe to a zone and back, where it finds nobody: the median of the latest few, since a
+// single quick answer, as before any traffic, says little of those to come.
+type way struct {
+	last [9]float64
+	n    int
+	v    float64
+	sway ewma // how far such probes are from v
+}
+
+const (
+	swayFirst  = 0.3 // of the way, until more is known
+	swayWeight = 0.1
+	swayMost   = 4.0 // times the usual sway
+)
+
+func (w *way) add(x float64) {
+	w.last[w.n%len(w.last)] = x
+	w.n++
+	sorted := w.last
+	n := min(w.n, len(sorted))
+	slices.Sort(sorted[:n])
+	w.v = sorted[n/2]
+	if !w.sway.seen {
+		w.sway = ewma{v: swayFirst * w.v, seen: true}
+	}
+	w.sway.add(math.Abs(x-w.v), swayWeight)
+}
+
+// beyond is what a probe took that the way does not explain.
+func (w *way) beyond(latency float64) float64 {
+	if waited := latency - w.v; waited > swayMost*w.sway.v {
+		return waited
+	}
+	return 0
+}
+
 // share counts a yes as a whole.
 func share(yes bool) float64 {
 	if yes {
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -17,6 +17,9 @@
 	Expected, Latency Micros // sums over the attempts answered OK
 	ProbeLatency      Micros // sum over the probes answered OK
 
+	Held  float64 // sum of the requests that these reported
+	Lined uint64  // of these, those whose wait was taken for a line of requests
+
 	Open, InFlight, Listed, Cold, Ejected, Pooled int
 
 	Load        float64 // of others at an endpoint, usually
@@ -54,12 +57,13 @@
 	}
 	ok, probed := s.Outcomes[OK]-old.Outcomes[OK], s.Probes[OK]-old.Probes[OK]
 	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d outcomes=%s "+
-		"expected_ms=%.1f latency_ms=%.1f probes=%s probe_ms=%.2f open=%d inflight=%d listed=%d cold=%d ejected=%d "+
+		"expected_ms=%.1f latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d listed=%d cold=%d ejected=%d "+
 		"pooled=%d load=%.2f pace=%.2f slowdown=%.2f refused_share=%.2f reports_late=%v",
 		s.Requests-old.Requests, s.Sends-old.Sends, s.Refused-old.Refused, s.Failed-old.Failed,
 		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, statuses(&s.Outcomes, &old.Outcomes),
 		mean(s.Expected-old.Expected, ok), mean(s.Latency-old.Latency, ok),
 		statuses(&s.Probes, &old.Probes), mean(s.ProbeLatency-old.ProbeLatency, probed),
+		(s.Held-old.Held)/float64(max(1, probed)), s.Lined-old.Lined,
 		s.Open, s.InFlight, s.Listed, s.Cold, s.Ejected, s.Pooled,
 		s.Load, s.Pace, s.Slowdown, s.RefusedOf, s.ReportsLate)
 }
