Rank tenants against one another, not by the refusals that all of them meet

Cause: the share of a tenant's traffic within its allowance, and with it the time that its requests may wait, fell with the refusals of all. With 68% refused even a tenant within its share was given a fifth of the spare time, and so more was refused.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -807,14 +807,15 @@
 	return own / top * b.shareWorth(now, r)
 }
 
-// shareWorth is what a request of r's tenant is worth on average, given how much of the tenant's traffic
-// lies beyond its share. Only this balancer's mix and refusals are known: the whole demand is taken to
-// exceed the sum of the allowances as it exceeds what is let in here.
+// shareWorth ranks r's tenant, 0 to 1, by what a request of it is worth on average against one of the tenant
+// whose are worth most, given how much of a tenant's traffic lies beyond its share. Only this balancer's mix
+// and refusals are known: the whole demand is taken to exceed the sum of the allowances as it exceeds what is
+// let in here. What lowers all alike ranks none: it must not refuse more, and so lower all again.
 func (b *Balancer) shareWorth(now Micros, r *request) float64 {
 	if int(r.Tenant) >= len(b.tenants) {
 		return 1
 	}
-	var asked, allowed float64
+	var asked, allowed, top, own float64
 	for i := range b.tenants {
 		asked += b.tenants[i].rate(now)
 		allowed += b.s.Tenants[i].Allowance
@@ -822,9 +823,20 @@
 	if allowed <= 0 {
 		return 1
 	}
-	mine := b.tenants[r.Tenant].rate(now) / asked
-	inside := min(1, b.s.Tenants[r.Tenant].Allowance/allowed/mine*(1-b.refused.v)*tenantSlack)
-	return inside + (1-inside)*b.s.OverShareWorth
+	for i := range b.tenants {
+		inside := 1.0
+		if mine := b.tenants[i].rate(now); mine > 0 {
+			inside = min(1, b.s.Tenants[i].Allowance/allowed*asked/mine*(1-b.refused.v)*tenantSlack)
+			top = max(top, inside+(1-inside)*b.s.OverShareWorth)
+		}
+		if i == int(r.Tenant) {
+			own = inside + (1-inside)*b.s.OverShareWorth
+		}
+	}
+	if !(top > 0) {
+		return 1
+	}
+	return own / top
 }
 
 func (b *Balancer) worth(class int) float64 {
