--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -65,6 +65,7 @@
 	stopWatch context.CancelFunc
 	stats     balancer.Stats // when last recorded, as are dials
 	dials     upCounts
+	lag       time.Duration // longest wait of an event since then
 }
 
 // member is what the loop holds of an endpoint until it is gone and nothing is
@@ -142,15 +143,21 @@
 	stats, up := l.balancer.Stats(now), l.up.counts()
 	if stats.Requests != l.stats.Requests {
 		l.log.Info("counts", "of", stats.Since(&l.stats), "dials", up.dials-l.dials.dials,
-			"dial_failed", up.failed-l.dials.failed, "no_connection", up.full-l.dials.full, "connections", up.open, "waiting_events", len(l.events))
+			"dial_ms", (up.dialTime-l.dials.dialTime).Milliseconds()/int64(max(1, up.dials-l.dials.dials)),
+			"dial_failed", up.failed-l.dials.failed, "no_connection", up.full-l.dials.full, "connections", up.open, "lag_ms", float64(l.lag.Microseconds())/1000)
 	}
-	l.stats, l.dials = stats, up
+	l.stats, l.dials, l.lag = stats, up, 0
 }
 
 // post hands an event to the loop. It must not be called from the loop.
 func (l *loop) post(event func(now balancer.Micros)) {
+	posted := time.Now()
+	timed := func(now balancer.Micros) {
+		l.lag = max(l.lag, time.Since(posted))
+		event(now)
+	}
 	select {
-	case l.events <- event:
+	case l.events <- timed:
 	case <-l.ctx.Done():
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -43,6 +43,7 @@
 	open                int // connections, those being dialled included
 	most                int
 	idle                map[*target][]*conn // by endpoint, the latest used last
+	dialTime            time.Duration
 	dials, failed, full uint64
 }
 
@@ -50,13 +51,14 @@
 // never came up, and the attempts and probes that found no room for one.
 type upCounts struct {
 	open                int
+	dialTime            time.Duration
 	dials, failed, full uint64
 }
 
 func (u *upstream) counts() upCounts {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return upCounts{u.open, u.dials, u.failed, u.full}
+	return upCounts{u.open, u.dialTime, u.dials, u.failed, u.full}
 }
 
 // target is one life of an endpoint at one address. It is closed for good once
@@ -220,12 +222,16 @@
 	if c != nil || err != nil {
 		return c, err
 	}
+	start := time.Now()
 	raw, err := u.dialer.DialContext(ctx, "tcp", t.address)
+	u.mu.Lock()
+	u.dialTime += time.Since(start)
 	if err != nil {
-		u.mu.Lock()
 		u.open--
 		u.failed++
-		u.mu.Unlock()
+	}
+	u.mu.Unlock()
+	if err != nil {
 		return nil, err
 	}
 	c = &conn{Conn: raw, target: t}
