Do not let one outcome bring back a slowdown that has faded

Cause: the fading was computed on reading only. The few requests passed while all is refused brought outcomes a few times a second, and each set the clock of the fading back without the value: a slowdown from a moment of lateness lived on.

The refused came back at once, 2500 a second, and used up its core.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1014,13 +1014,16 @@
 // held against what its endpoint's pace and load alone made expected: with the trend in that as well, all
 // that were sent before it rose would raise it again, far beyond the slowness that there is.
 func (b *Balancer) follow(now Micros, ratio float64) {
-	b.trend += (min(ratio, trendStep) - b.trend) * trendWeight
-	b.trendAt = now
+	trend := b.trendNow(now)
+	b.trend, b.trendAt = trend+(min(ratio, trendStep)-trend)*trendWeight, now
 }
 
-// slowdown is the trend beyond what chance makes of it. It fades while nothing is answered: refusals that it
-// causes would else keep away the very outcomes that show its end.
+func (b *Balancer) trendNow(now Micros) float64 {
+	return 1 + (b.trend-1)*math.Exp(-float64(now-b.trendAt)/float64(trendLife))
+}
+
+// slowdown is the trend beyond what chance makes of it. It fades as long as little or nothing is answered:
+// refusals that it causes would else keep away the very outcomes that show its end.
 func (b *Balancer) slowdown(now Micros) float64 {
-	trend := 1 + (b.trend-1)*math.Exp(-float64(now-b.trendAt)/float64(trendLife))
-	return max(1, trend/trendNoise)
+	return max(1, b.trendNow(now)/trendNoise)
 }
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -319,6 +319,10 @@
 	if at, later := b.slowdown(second), b.slowdown(4*second); at < 2 || later != 1 {
 		t.Errorf("slowdown %.2f at the last outcome, %.2f three seconds after it", at, later)
 	}
+	b.follow(4*second, 1)
+	if got := b.slowdown(4 * second); got != 1 {
+		t.Errorf("slowdown %.2f after an outcome as predicted brought back what had faded", got)
+	}
 }
 
 // A hint must count for as much as it tells, or idle endpoints refuse what is only said to be large.
