Let a lost probe say nothing of the load where probes wait in no line

Cause: a probe without an answer in 400 ms was taken to wait behind as many requests as fit into that time, 100 to 200 where a request works 4 to 8 ms, and a tenth of them added to the usual load of all endpoints, which decides while reports are late. On rough sockets probes get lost at idle endpoints, too.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -442,7 +442,8 @@
 	}
 	if status != OK {
 		e.answerAt = 0 // one that turns probes away or leaves them waiting is no place for a request
-		if status == Timeout {
+		// Its silence tells of a line only where probes wait in one; elsewhere the probe was lost.
+		if status == Timeout && b.waits.v > waitsTell {
 			b.usual.add(cores+b.line(float64(latency)), usualWeight)
 		}
 		b.heard(now, e)
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -504,6 +504,24 @@
 	}
 }
 
+// Where probes are answered beside the line, one that is lost says nothing of a load.
+func TestLostProbeIsNoLoad(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(2))
+	for i := range Micros(20) {
+		b.Probed(1000*i, 1, OK, 500, []float32{1})
+	}
+	before := b.usual.v
+	b.Probed(30_000, 2, Timeout, 400_000, nil)
+	if b.usual.v > before {
+		t.Errorf("usual load %.1f before a lost probe, %.1f after it", before, b.usual.v)
+	}
+	b.waits.v = 0.5
+	b.Probed(40_000, 2, Timeout, 400_000, nil)
+	if b.usual.v <= before {
+		t.Errorf("usual load %.1f after silence, where probes wait in line", b.usual.v)
+	}
+}
+
 // A few long answers must not make an endpoint refuse where nobody waits.
 func TestIdleEndpointIsNotRefused(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
