Refuse for lateness only where somebody waits at the endpoint

Cause: latencies that grew alone were enough to refuse. A sidecar whose core is used up measures long latencies at idle endpoints, refused all, and the refused came back within 24 ms, more than its core can turn away: it stayed slow.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -743,9 +743,10 @@
 		return false
 	}
 	x, most := b.predict(now, e, r.work), b.room(now, r, e)
-	if x > most && (b.crowding(e) > 1 || b.slowdown(now) > 1) {
-		// It would come too late to be worth its work: not where nobody waits while the fleet is well, since
-		// few samples of a long-tailed latency make a healthy endpoint look hopeless. As with the breaker, one
+	if x > most && b.crowding(e) > 1 {
+		// It would come too late to be worth its work: not where nobody waits, since few samples of a
+		// long-tailed latency make a healthy endpoint look hopeless, and a sidecar that is slow itself makes
+		// all of them look so: refused clients only come back sooner. As with the breaker, one
 		// passes now and then, so that a wrong guess does not feed itself: of so many, since a pass a second
 		// at each of a thousand balancers is more than a jammed fleet can bear.
 		c := &b.classes[r.Class]
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -522,6 +522,24 @@
 	}
 }
 
+// Where the sidecar itself is slow all latencies grow: refusing where nobody waits helps no endpoint, and brings
+// the clients back at once.
+func TestSlowdownAloneRefusesNothing(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.trend, b.trendAt = trendStep, 1000
+	b.fleet = ewma{v: 20, seen: true}
+	b.Probed(1000, 1, OK, 500, []float32{0})
+	b.Request(2000, request0(1, 0, 2000))
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends to an idle endpoint while all seem slow", len(r.sends))
+	}
+	b.Probed(3000, 1, OK, 500, []float32{5})
+	b.Request(3000, request0(2, 0, 3000))
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends, though the second would wait behind five at a slow endpoint", len(r.sends))
+	}
+}
+
 // A few long answers must not make an endpoint refuse where nobody waits.
 func TestIdleEndpointIsNotRefused(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
