Hold no probe to have waited before the way to its zone is known

Cause: until a zone's first quick answers were outweighed, its later probes still passed for waiting, and the opening seconds refused for that.

--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -430,6 +430,9 @@
 	s.Fields = []Field{FieldServed, FieldUtil}
 	b, _ := start(t, s, ready(2))
 	e := b.byID[1]
+	for range len(b.ways[0].last) {
+		b.Probed(900, 1, OK, 500, []float32{90, 0.2})
+	}
 	b.Probed(1000, 1, OK, 500, []float32{90, 0.5})
 	if got := b.load(e); got != 0.5*cores {
 		t.Errorf("load %v of a half busy endpoint", got)
@@ -464,7 +467,9 @@
 			probed(200, 0)
 		}
 		for range 5 {
-			probed(11_000+noise.below(4000), 0)
+			if probed(11_000+noise.below(4000), 0); b.load(b.byID[1]) > 0 {
+				t.Errorf("%s: an idle endpoint shows a load while its way is being learned", c.name)
+			}
 		}
 		if way := b.ways[0].v; way < 11_000 || way > 15_000 {
 			t.Errorf("%s: a way of %.0f us, want 11 to 15 ms", c.name, way)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -186,9 +186,9 @@
 	w.sway.add(math.Abs(x-w.v), swayWeight)
 }
 
-// beyond is what a probe took that the way does not explain.
+// beyond is what a probe took that the way does not explain; nothing until enough is known of that.
 func (w *way) beyond(latency float64) float64 {
-	if waited := latency - w.v; waited > swayMost*w.sway.v {
+	if waited := latency - w.v; w.n >= len(w.last) && waited > swayMost*w.sway.v {
 		return waited
 	}
 	return 0
