Keep tests' sidecars and closed ports from reaching other tests' listeners

Cause: a sidecar lived on after its test for its drain and went on calling a discovery whose port was free again; 'closed' addresses were ports given back. Either may be the listener of another test by then, which counted requests that were not its own: TestDrainDuringDialGoesElsewhere, TestResendLimits, TestLateOutcome and TestWatchGoesOnFromTheVersionKnown failed now and then.

--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -26,14 +26,23 @@
 		"X-Correlation-Id": {"1"}, "Idempotency-Key": {"k"}}}
 }
 
-// closedAddress is one that refuses connections.
+// closedAddress is one that refuses connections. Its port stays bound until the test ends: a port given back
+// may become another test's listener, which would then get requests that are not its own.
 func closedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
 
 // Each row of the table of outcomes, on a new connection.
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -349,6 +349,8 @@
 	w.t.Cleanup(func() {
 		stop()
 		w.server.http.Close()
+		// Left to its drain, the sidecar would go on calling a discovery whose port may be another test's by then.
+		stopLoop()
 	})
 }
 
