--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,6 +1,7 @@
 // Package balancer makes the decisions of a client-side sidecar balancer.
 //
-// Settings, events and actions stand in api.go, the records kept in state.go; all decisions stand here.
+// Settings, events and actions stand in api.go, the records kept in state.go, the counts for on-call staff in
+// stats.go; all decisions stand here.
 // A Balancer is a deterministic state machine for one caller at a time: the host passes each event with
 // its instant, and the balancer calls Actions. Reading order: lifecycle and request ledger, membership and
 // warm-up, probe pool and pick, breaker, attempts.
