Read on after turning a request away, so that its client finds the answer

Cause: a request turned away before its body was read (400, 413, or 503 with no room for bodies) had its connection closed at once. net/http reads the rest of a body only where the client did not itself ask for the connection's end; where it did, closing with unread bytes resets the connection, and a client still writing gets the reset in place of its answer.

The answer now goes out first and the body is read on after it, up to a body's limit and within the time for a request, and dropped. Bytes of a body refused for want of room are given back before that. TestTurnedAwayWhileSending takes the race out: without the change it fails each time with a broken pipe.

--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -127,6 +127,54 @@
 	})
 }
 
+// A client that is still sending its body when it is turned away can send it to
+// the end, within the limit, and then finds its answer and not a reset. Asking
+// for its connection to be closed changes nothing of that.
+func TestTurnedAwayWhileSending(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	for _, c := range []struct {
+		name, head string
+		size, code int
+		full       bool
+	}{
+		{"too large", payHead + "X-Correlation-Id: 1\r\n", bodyMost + 1, http.StatusRequestEntityTooLarge, false},
+		{"bad hint", payHead + "X-Correlation-Id: 2\r\nX-Weight-Hint: -1\r\n", bodyMost, http.StatusBadRequest, false},
+		{"no room", payHead + "X-Correlation-Id: 3\r\n", bodyMost, http.StatusServiceUnavailable, true},
+	} {
+		taken := w.server.bodies.Load()
+		if c.full {
+			w.server.bodies.Add(int64(w.loop.cfg.Limits.MemoryMB) << 20)
+		}
+		conn := w.dial()
+		in := bufio.NewReader(conn)
+		fmt.Fprintf(conn, "%sConnection: close\r\nContent-Length: %d\r\n\r\nx", c.head, c.size)
+		response, err := http.ReadResponse(in, nil)
+		if err != nil || response.StatusCode != c.code {
+			t.Errorf("%s: got %v, %v, want %d", c.name, response, err, c.code)
+			continue
+		}
+		// Whoever has closed by now answers the first piece with a reset.
+		for _, piece := range []int{1, c.size - 2} {
+			if _, err := io.WriteString(conn, strings.Repeat("x", piece)); err != nil {
+				t.Errorf("%s: the rest of the body: %v", c.name, err)
+			}
+		}
+		if _, err := io.Copy(io.Discard, in); err != nil {
+			t.Errorf("%s: the end of the connection: %v", c.name, err)
+		}
+		if c.full {
+			w.server.bodies.Add(-int64(w.loop.cfg.Limits.MemoryMB) << 20)
+		}
+		if held := w.server.bodies.Load(); held != taken {
+			t.Errorf("%s: %d bytes are still held", c.name, held-taken)
+		}
+	}
+	if n, _ := e.seen(); n != 0 {
+		t.Errorf("%d of them reached the endpoint", n)
+	}
+}
+
 // Clients that say nothing, too little, or nothing more are closed on in time.
 // 3 s are the most that they may stay, so 2.9 s is what the limits are held to.
 func TestSilentClientsAreClosed(t *testing.T) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -152,14 +152,28 @@
 
 // reject turns a request away, with its connection: what else a client sends
 // that gets this much wrong is not worth reading.
-func reject(w http.ResponseWriter, err error) {
-	w.Header().Set("Connection", "close")
+func reject(w http.ResponseWriter, in *http.Request, err error) {
 	code := http.StatusBadRequest
 	var b *badRequest
 	if errors.As(err, &b) {
 		code = b.code
 	}
-	http.Error(w, err.Error(), code)
+	reason := err.Error() + "\n"
+	turnAway(w, in, answer{code: code, body: []byte(reason),
+		header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}, "X-Content-Type-Options": {"nosniff"}}})
+}
+
+// turnAway answers a request whose body may not be read yet, and ends its
+// connection. After the answer it reads on, up to the limit of a body and the
+// time for a request: closed with something unread, the connection would be
+// reset, and a client that is still writing would find that and not its answer.
+func turnAway(w http.ResponseWriter, in *http.Request, a answer) {
+	w.Header().Set("Connection", "close")
+	writeAnswer(w, a)
+	if http.NewResponseController(w).Flush() != nil {
+		return // the client is gone
+	}
+	io.Copy(io.Discard, http.MaxBytesReader(w, in.Body, bodyMost)) // as much as comes is enough
 }
 
 // handle reads a request whole and answers it.
@@ -168,7 +182,7 @@
 	c := in.Context().Value(connKey{}).(*clientConn)
 	if c.ambiguous() {
 		// What follows the head may hide another request: the connection ends here.
-		reject(w, bad("Content-Length beside another, or beside Transfer-Encoding"))
+		reject(w, in, bad("Content-Length beside another, or beside Transfer-Encoding"))
 		return
 	}
 	ready := in.URL.Path == "/health/ready"
@@ -176,7 +190,7 @@
 	if !ready {
 		var err error
 		if req, err = s.parse(in, arrived); err != nil {
-			reject(w, err)
+			reject(w, in, err)
 			return
 		}
 	}
@@ -185,18 +199,18 @@
 		held = in.ContentLength
 	}
 	if held > bodyMost {
-		reject(w, &badRequest{http.StatusRequestEntityTooLarge, tooLarge})
+		reject(w, in, &badRequest{http.StatusRequestEntityTooLarge, tooLarge})
 		return
 	}
-	defer s.bodies.Add(-held)
 	if s.bodies.Add(held) > int64(s.loop.cfg.Limits.MemoryMB)<<20/bodiesPart {
-		w.Header().Set("Connection", "close")
-		writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
+		s.bodies.Add(-held)
+		turnAway(w, in, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
+	defer s.bodies.Add(-held)
 	body, err := readBody(w, in)
 	if err != nil {
-		reject(w, err)
+		reject(w, in, err)
 		return
 	}
 	alone, ok := c.begin(in.ContentLength)
@@ -248,7 +262,7 @@
 	s.ids[id] = true
 	s.mu.Unlock()
 	if open {
-		reject(w, &badRequest{http.StatusConflict, "a request with this X-Correlation-Id is open"})
+		reject(w, in, &badRequest{http.StatusConflict, "a request with this X-Correlation-Id is open"})
 		return
 	}
 	defer func() {
