Send to an endpoint that turns some away before refusing at those too late

Cause: an endpoint that turned requests away was ranked as one that fails. Ejected so, it stood behind every endpoint that was already too late, and the request was refused there. But what is turned away has not run and may go elsewhere at once, and the rest is answered.

Ruled out: the share of tenants (values were low only for those beyond their share), the sidecar's own lateness (0.2 ms).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -545,8 +545,10 @@
 func (b *Balancer) cost(now Micros, r *request, e *endpoint) float64 {
 	aim := float64(b.class(r).Aim)
 	expected := b.predict(now, e, r.work)
-	// One that answers in time goes first, if far or failing.
-	c := expected + (e.failing(now)+share(e.ejected(now))+share(expected > b.room(now, r, e)))*aim
+	// One that answers in time goes first, if far or failing. One that only turns some away goes ahead of one
+	// that is too late: nothing of what it turns away has run, and what it takes in is answered.
+	ejected := e.ejected(now) && e.turned.v < turnsMost
+	c := expected + (e.failing(now)+share(ejected)+share(expected > b.room(now, r, e)))*aim
 	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(e)
 	return c + zoneWeight*b.s.Prices.CrossZone*aim*share(int(e.Zone) != b.s.Zone)
 }
@@ -697,7 +699,9 @@
 	lateLeast   = 0.25 // of the aim at least, after which an answer is late
 	passLeast   = 10   // requests that seem too late: one of so many is sent all the same,
 	passMost    = 640  // and one of so many after passes that earned nothing
-	ejectFrom   = 0.4  // share of failures from which an endpoint is ejected
+	ejectFrom   = 0.4  // share of failures from which an endpoint is ejected,
+	turnsMost   = 0.5  // and share of turned away among them from which it still goes ahead of a late one
+	turnWeight  = 0.25 // of the latest failure in that share
 	roomMost    = 0.6  // of what the aim leaves may be waited by the class of most value: latencies vary
 	roomLeast   = 0.2  // and by any
 	tenantSlack = 1.25 // refusals below a fifth say nothing of shares
@@ -963,6 +967,7 @@
 	case Cancelled, Moot:
 	default:
 		e.br.count(now, 0, 1)
+		e.turned.add(share(status == Full), turnWeight)
 		hasty := status == Timeout && float64(latency) < lateFactor*a.expected // the client had little time
 		if weight := failWeight; !a.late && !hasty {
 			if status == Reset || status == ConnectFailed || status == Timeout {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -659,3 +659,38 @@
 		t.Errorf("%d of %d quiet balancers may send to a cold endpoint within 5 s", allowed, all)
 	}
 }
+
+// An endpoint that turns some requests away unseen and answers the rest at once is worth more than one that
+// would be too late, also when it is ejected. One whose failures may have run is not.
+func TestEndpointThatTurnsAwayGoesAheadOfALateOne(t *testing.T) {
+	for _, c := range []struct {
+		status Status
+		to     uint32
+	}{{Full, 1}, {Error, 2}} {
+		s := testSettings()
+		s.Balancers = 1
+		b, r := start(t, s, ready(2))
+		now := second
+		b.Probed(now, 1, OK, 500, []float32{0})
+		asked := b.newRequest(now, request0(1000, 1, now))
+		asked.work = b.classes[1].work.v
+		late := float32(0)
+		for ; b.predict(now, b.byID[2], asked.work) <= b.room(now, asked, b.byID[2]); late++ {
+			b.Probed(now, 2, OK, 500, []float32{late})
+		}
+		for id := uint64(1); !b.byID[1].ejected(now); id++ {
+			if id > 100 {
+				t.Fatalf("%v: never ejected", c.status)
+			}
+			b.Request(now, request0(id, 1, now))
+			first := r.sends[len(r.sends)-1]
+			if first.endpoint != 1 {
+				t.Fatalf("%v: went to %d, want the idle endpoint", c.status, first.endpoint)
+			}
+			b.Outcome(now, Outcome{ID: id, Endpoint: 1, Status: c.status, Latency: 500, Settled: true})
+		}
+		if got := b.pick(now, asked, nil).ID; got != c.to {
+			t.Errorf("%v: endpoint 2 late with a load of %v: picked %d, want %d", c.status, late, got, c.to)
+		}
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -123,6 +123,7 @@
 	paceAt Micros
 	errs   float64 // share of failures, recent
 	errAt  Micros
+	turned ewma // share of the failures that were turned away unseen
 	br     breaker
 }
 
