Compare the few endpoints that a request's key names, before the whole pool

Latencies are 52 to 63 ms in the median and 340 in the 99th percentile, endpoints hold 1.3 to 2.3 requests. So the work is too much, and uneven.

The settings say that an endpoint does less work for a key that it met lately (family-info.warm-keys), and it remembers few keys for seconds. With all sidecars sending by one pool of loads, each key goes round all 60 endpoints, and every endpoint meets all keys; and those that share a picture of loads go to the same quiet ones.

To blame: pick, which compares the whole pool for every request, whoever else holds the same answers, and predicts the same work for a key everywhere.

Now the key names two endpoints at home and two elsewhere, the same at every sidecar, more keys the larger and warmer the endpoint is. Of these the one of least cost by probed load is taken; if it would be too late there, the whole pool as before.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -117,6 +117,7 @@
 	Tick           Micros // the least time between two rounds of events
 	OverShareWorth float64
 	WorthByWork    bool // worth counts per unit of work, not per request
+	WarmKeys       bool // an endpoint that met a key lately does less work for it
 }
 
 // SettingError names a setting that makes no sense.
@@ -191,6 +192,7 @@
 // Endpoint is one entry of discovery's list.
 type Endpoint struct {
 	ID        uint32
+	Name      uint64 // the same at every balancer
 	Zone      uint8
 	Kind      uint8
 	Cell      uint16
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -323,6 +323,7 @@
 	settleTrips  = 5.0  // round trips after which a send has surely arrived
 	othersWeight = 0.05 // of the delay that a send is to those already there: among equals less load goes first
 	zoneWeight   = 2.0  // aims of latency that a crossing's price counts as
+	homesEach    = 2    // endpoints at home, and as many elsewhere, that a key names
 	cores        = 2.0  // requests that an endpoint works at side by side, assumed
 )
 
@@ -579,6 +580,49 @@
 	return last
 }
 
+// home returns the endpoint of least cost among the few that the request's key names, the same at every
+// balancer, or nil if it would be too late there. A picture of the whole fleet shows the same quiet endpoints
+// to all balancers, and they all go there; these few differ from key to key, and have met theirs lately.
+func (b *Balancer) home(now Micros, r *request, not *endpoint) *endpoint {
+	if !b.s.WarmKeys || r.Key == 0 {
+		return nil
+	}
+	type named struct {
+		e     *endpoint
+		score float64
+	}
+	var top [2][homesEach]named
+	for _, e := range b.list {
+		if e.State != Ready || e.ejected(now) {
+			continue
+		}
+		// The larger and the warmer an endpoint, the more keys name it.
+		size := max(0.01, float64(e.Share)) * e.warmth(now, b)
+		at := named{e, size / -math.Log(chance(r.Key, e.Name))}
+		side := &top[int(share(int(e.Zone) != b.s.Zone))]
+		for rank := range side {
+			if at.score > side[rank].score {
+				side[rank], at = at, side[rank]
+			}
+		}
+	}
+	var best *endpoint
+	var least float64
+	for _, side := range top {
+		for _, at := range side {
+			if e := at.e; e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
+				if c := b.cost(now, r, e); best == nil || c < least {
+					best, least = e, c
+				}
+			}
+		}
+	}
+	if best == nil || b.crowding(best) > 1 && b.predict(now, best, r.work) > b.room(now, r, best) {
+		return nil
+	}
+	return best
+}
+
 // pick returns the pooled endpoint of the least cost for r, leaving out those it must not or should not go
 // to; without fresh answers, the better of two random draws.
 func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
@@ -594,6 +638,9 @@
 		e.pooled = e.State == Ready && now-e.answerAt <= fresh
 		return !e.pooled
 	})
+	if e := b.home(now, r, not); e != nil {
+		return e
+	}
 	// A random start parts equals: all balancers may hold the same list.
 	for i, at := 0, int(b.rng.float()*float64(len(b.pool))); i < len(b.pool); i++ {
 		if e := b.pool[(at+i)%len(b.pool)]; e != not && !r.tried(e) && b.maySend(now, r, e) {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -694,3 +694,71 @@
 		}
 	}
 }
+
+// Where endpoints remember keys, all balancers send a key to the same few of them, by load; only when it would
+// be too late there does it go elsewhere.
+func TestKeyGoesToTheEndpointsItNames(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		warm        bool
+		key         uint64
+		jammed      bool // the endpoints that the key names
+		least, most int  // endpoints used
+	}{
+		{"warm keys", true, 5, false, 2, 4},
+		{"keys are not remembered", false, 5, false, 12, 40},
+		{"no key", true, 0, false, 12, 40},
+		{"too late where the key is known", true, 5, true, 12, 40},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := testSettings()
+			s.WarmKeys, s.Balancers, s.Zones = c.warm, 40, 2
+			list := ready(40)
+			for i := range list {
+				list[i].Zone, list[i].Name = uint8(i%2), uint64(i+1)
+			}
+			used := map[uint32]bool{}
+			send := func(load func(id uint32) float32, seed uint64) uint32 {
+				r := &recorder{}
+				s.Position = int(seed)
+				b, err := New(s, seed, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b.Start(0)
+				b.Members(0, ListCached, list)
+				for i := range list {
+					id := list[(i*7+int(seed))%len(list)].ID
+					b.Probed(1000, id, OK, 500, []float32{load(id)})
+				}
+				q := request0(1, 0, 2000)
+				q.Key = c.key
+				b.Request(2000, q)
+				if len(r.sends) != 1 {
+					t.Fatalf("%d sends of one request", len(r.sends))
+				}
+				return r.sends[0].endpoint
+			}
+			names := map[uint32]bool{}
+			for seed := range uint64(100) {
+				names[send(func(id uint32) float32 { return float32((uint64(id)*13 + seed*7) % 17) }, seed)] = true
+			}
+			for seed := range uint64(200) {
+				used[send(func(id uint32) float32 {
+					if c.jammed && names[id] {
+						return 60
+					}
+					return float32((uint64(id) + seed) % 3)
+				}, seed)] = true
+			}
+			if len(used) < c.least || len(used) > c.most {
+				t.Errorf("%d endpoints were used, want %d to %d", len(used), c.least, c.most)
+			}
+			for id := range names {
+				if c.jammed && used[id] {
+					t.Errorf("endpoint %d was used though jammed", id)
+				}
+			}
+		})
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -228,13 +228,22 @@
 // source is a SplitMix64 generator.
 type source uint64
 
-// float returns a number in [0,1).
-func (s *source) float() float64 {
+func (s *source) next() uint64 {
 	*s += 0x9e3779b97f4a7c15
 	z := uint64(*s)
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return float64((z^z>>31)>>11) / (1 << 53)
+	return z ^ z>>31
+}
+
+// float returns a number in [0,1).
+func (s *source) float() float64 { return float64(s.next()>>11) / (1 << 53) }
+
+// chance returns a number in (0,1) that a key and a name make, as good as random and the same for all.
+func chance(key, name uint64) float64 {
+	s := source(key)
+	s = source(s.next() ^ name)
+	return s.float() + 1.0/(1<<54)
 }
 
 // below returns a duration in [0,d).
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -226,7 +226,7 @@
 			l.ids[h.Name], l.fleet[id] = id, &member{name: h.Name}
 		}
 		named[id] = true
-		e := balancer.Endpoint{ID: id, Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
+		e := balancer.Endpoint{ID: id, Name: hashed(h.Name), Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
 			Cell: h.Block, State: states[h.Health], Share: h.Share}
 		if h.BornMS > 0 {
 			e.StartTime = h.BornMS * 1000
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -303,6 +303,13 @@
 var single = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Session-Key",
 	"X-Time-Left-Ms", "X-Repeat", "X-Weight-Hint", "Idempotency-Key"}
 
+// hashed makes a number of a name, the same at every sidecar.
+func hashed(name string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(name))
+	return hash.Sum64()
+}
+
 // parse reads the headers of a request.
 func (s *server) parse(in *http.Request, arrived balancer.Micros) (balancer.Request, error) {
 	var req balancer.Request
@@ -351,9 +358,7 @@
 		}
 	}
 	if key := h.Get("X-Session-Key"); key != "" {
-		hash := fnv.New64a()
-		hash.Write([]byte(key))
-		req.Key = hash.Sum64()
+		req.Key = hashed(key)
 	}
 	if hint := h.Get("X-Weight-Hint"); hint != "" {
 		micros, err := strconv.ParseUint(hint, 10, 63)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -159,6 +159,7 @@
 			WorstTenant: t.number("goal.worst-tenant", 0),
 		},
 		OverShareWorth: t.number("over-share-worth", 1),
+		WarmKeys:       t.flag("family-info.warm-keys", false),
 		WorthByWork: word(t, "value-by", false,
 			map[string]bool{"request": false, "work": true}),
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -345,6 +345,7 @@
 	for i := 0; i < n && d.err == nil; i++ {
 		var e balancer.Endpoint
 		e.ID, e.Zone, e.Kind, e.Cell = d.u32(), d.u8(), d.u8(), d.u16()
+		e.Name = uint64(e.ID) // every instance knows an endpoint by the same id
 		switch state := d.u8(); state {
 		case 0:
 			e.State = balancer.Ready
