Let cold endpoints earn in one bucket, with a load and a slowness of their own

Ruled out: the rule's limit (the cold get a sixth of what it allows), discovery (all sidecars list them within 1 to 2 s), connections (no failed dials there).

To blame, and all three needed: coldRoom kept a bucket for each endpoint at each sidecar, which 18 requests a second fill once in 14 s; paceNow expects the least warmth that the settings allow, 89 to 130 ms where 23 to 47 came; and load takes one without an answer for as busy as the usual, which is the overloaded warm ones.

Now one bucket holds what all cold endpoints may get together, the same share as before, and the one that got least for its warmth is next. How much of the slowness shows is learned from latencies at the cold ones, and their usual load is kept apart.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -44,6 +44,7 @@
 func (b *Balancer) Start(now Micros) {
 	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
 	b.trend, b.trust = 1, 0.5
+	b.chill = ewma{v: chillFirst, seen: true}
 	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
 	if b.s.Subscribe {                                 // all may start at once: spread their first calls
@@ -122,10 +123,14 @@
 	if !b.maySend(now, r, e) {
 		return false
 	}
-	if e.cold(now, b) {
-		e.room -= r.work * coldCharge
+	cold := e.cold(now, b)
+	if cold {
+		b.spare -= r.work * coldCharge
+		e.taken += r.work * coldCharge
+		b.turn = nil
+		b.stats.ColdSends++
 	}
-	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, expected: b.predict(now, e, r.work),
+	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, cold: cold, expected: b.predict(now, e, r.work),
 		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), factor: r.work * b.crowding(e),
 		out: true, mayRun: true}
 	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
@@ -237,41 +242,66 @@
 	e.Endpoint, e.seen = *in, true
 	b.largest = max(b.largest, float64(e.Share))
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
-		// A quiet balancer takes minutes to earn one send: all start somewhere on that way, or none would send
-		// anything while the endpoint is cold.
-		e.isCold, e.coldFrom, e.roomAt = true, min(started, now), now
-		e.room = b.rng.float() * coldCharge * b.classes[0].work.v
+		// A quiet balancer takes long to earn one send: all start somewhere on that way, and with another
+		// endpoint, or none would send anything while it is cold.
+		e.isCold, e.coldFrom = true, min(started, now)
+		e.taken = b.rng.float() * coldCharge * b.classes[0].work.v
+		b.spare = max(b.spare, b.rng.float()*coldCharge*b.classes[0].work.v)
 	}
 	if probe && (fresh || restarted) {
 		b.probe(now, e)
 	}
 }
 
-// A cold endpoint gets at most a share of its warmth's part of our own mean work per warm endpoint. All
-// balancers doing so, their sum stays under what it can do; none needs to know of the others. Each send
-// is charged a little more than its work, for the handshake that it may cost.
+// The cold endpoints together get at most a share of what their warmth makes of our own mean work per warm
+// endpoint, each in its turn. All balancers doing so, what one of them gets stays under what it can do; none
+// needs to know of the others. One of many balancers would take minutes to earn a send to each of them apart,
+// and the request that finds that one best seldom comes by just then. Each send is charged a little more than
+// its work, for the handshake that it may cost.
 const (
-	coldShare  = 0.28 // of the multiple at which it falls over
-	coldCharge = 1.15
-	probeShare = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
+	coldShare   = 0.28 // of the multiple at which it falls over
+	coldCharge  = 1.15
+	chillFirst  = 0.2 // of the slowness that the least warmth makes, until more is known
+	chillWeight = 0.05
+	probeShare  = 0.01 // of a request's work, taken from the cold endpoints' room by a probe
 )
 
-// coldRoom refills the token bucket of a cold endpoint and says whether a request of this work fits.
+// coldRoom says whether it is the turn of a cold endpoint, and a request of this work fits.
 func (b *Balancer) coldRoom(now Micros, e *endpoint, work float64) bool {
-	var warm, ready float64
+	if b.spareAt != now || b.turn == nil {
+		b.earn(now, work)
+	}
+	return e == b.turn && b.spare >= work*coldCharge
+}
+
+// earn refills the token bucket of the cold endpoints and finds the one whose turn it is: that which got
+// least for its warmth.
+func (b *Balancer) earn(now Micros, work float64) {
+	var warm, ready, cold, least float64
+	b.turn = nil
 	for _, o := range b.list {
-		ready += share(o.State == Ready)
-		warm += share(o.State == Ready && !o.cold(now, b))
+		if o.State != Ready {
+			continue
+		}
+		ready++
+		if !o.cold(now, b) {
+			warm++
+			continue
+		}
+		warmth := o.warmth(now, b)
+		cold += warmth
+		if got := (o.taken + work) / warmth; b.turn == nil || got < least {
+			b.turn, least = o, got
+		}
 	}
 	rate := b.sentWork.rate(now)
 	if warm == 0 { // nothing to compare with: an even share of what is asked
 		warm, rate = ready, b.demand.rate(now)*work
 	}
-	fill := min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * rate / max(1, warm)
+	fill := min(1, coldShare*b.s.Contract.FallMultiple) * cold * rate / max(1, warm)
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
-	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
-	e.roomAt = now
-	return e.room >= work*coldCharge
+	b.spare = min(most, b.spare+fill*float64(now-b.spareAt)/float64(second))
+	b.spareAt = now
 }
 
 func (b *Balancer) askIn(now, delay Micros) {
@@ -404,7 +434,7 @@
 func (b *Balancer) probe(now Micros, e *endpoint) {
 	if lost := now-e.probedAt > 5*second; b.s.Limits.Probes && e.State == Ready && (lost || !e.probing) {
 		e.probing, e.probedAt = true, now
-		e.room -= probeShare * b.classes[0].work.v * share(e.cold(now, b))
+		b.spare -= probeShare * b.classes[0].work.v * share(e.cold(now, b))
 		b.out.Probe(e.ID)
 	}
 }
@@ -480,7 +510,11 @@
 		}
 		e.hasLoad, e.answerAt = true, now
 		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.inflight
-		b.usual.add(e.others, usualWeight)
+		if e.cold(now, b) {
+			b.usualCold.add(e.others, usualWeight)
+		} else {
+			b.usual.add(e.others, usualWeight)
+		}
 		e.mean.add(e.others, meanWeight)
 		if b.waits.v > waitsTell && line < lineLeast && b.usual.v < cores {
 			// Probes wait in line here, and this one found none, whatever an old report says. In a fleet that
@@ -509,7 +543,11 @@
 // tell nothing of this moment, but their mean still tells at which endpoints others are more than elsewhere.
 func (b *Balancer) load(e *endpoint) float64 {
 	if b.reportsLate || !e.hasLoad {
-		return e.mean.or(b.usual.v) + float64(e.inflight)
+		usual := b.usual.v
+		if e.isCold {
+			usual = b.usualCold.v
+		}
+		return e.mean.or(usual) + float64(e.inflight)
 	}
 	herd := float64(b.s.Balancers-1) / 2 * float64(max(0, e.inflight-e.ownAt)) * share(!b.sparse)
 	return e.others + float64(e.inflight) + herd
@@ -525,7 +563,7 @@
 func (e *endpoint) paceNow(now Micros, b *Balancer) float64 {
 	usual := b.fleet.or(1)
 	trust := max(0, 1-float64(now-e.paceAt)/float64(paceLife)) * share(e.pace.seen)
-	return (usual + (e.pace.v-usual)*trust) / e.warmth(now, b)
+	return (usual + (e.pace.v-usual)*trust) * e.slowed(now, b)
 }
 
 // predict is the latency expected of a request of this work sent to e now.
@@ -591,29 +629,30 @@
 		e     *endpoint
 		score float64
 	}
-	var top [2][homesEach]named
+	var top [2*homesEach + 1]named // at home, elsewhere, and the cold one
 	for _, e := range b.list {
-		if e.State != Ready || e.ejected(now) {
-			continue
+		if e.State != Ready || e.ejected(now) || e.cold(now, b) {
+			continue // a cold one knows no keys
+		}
+		// The larger an endpoint, the more keys name it.
+		at := named{e, max(0.01, float64(e.Share)) / -math.Log(chance(r.Key, e.Name))}
+		side := top[:homesEach]
+		if int(e.Zone) != b.s.Zone {
+			side = top[homesEach : 2*homesEach]
 		}
-		// The larger and the warmer an endpoint, the more keys name it.
-		size := max(0.01, float64(e.Share)) * e.warmth(now, b)
-		at := named{e, size / -math.Log(chance(r.Key, e.Name))}
-		side := &top[int(share(int(e.Zone) != b.s.Zone))]
 		for rank := range side {
 			if at.score > side[rank].score {
 				side[rank], at = at, side[rank]
 			}
 		}
 	}
+	top[2*homesEach].e = b.turn
 	var best *endpoint
 	var least float64
-	for _, side := range top {
-		for _, at := range side {
-			if e := at.e; e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
-				if c := b.cost(now, r, e); best == nil || c < least {
-					best, least = e, c
-				}
+	for _, at := range top {
+		if e := at.e; e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
+			if c := b.cost(now, r, e); best == nil || c < least {
+				best, least = e, c
 			}
 		}
 	}
@@ -627,6 +666,7 @@
 // to; without fresh answers, the better of two random draws.
 func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
 	fresh := b.freshFor(now, b.class(r).Aim)
+	b.earn(now, r.work)
 	var best *endpoint
 	var least float64
 	consider := func(e *endpoint) {
@@ -647,6 +687,10 @@
 			consider(e)
 		}
 	}
+	// The cold one whose turn it is competes: seldom drawn, it would stay cold.
+	if e := b.turn; e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
+		consider(e)
+	}
 	// A pool of few would take all: with most endpoints unanswered, the draws compete.
 	if best == nil || !b.sparse && 2*len(b.pool) < len(b.list) {
 		for range 2 {
@@ -1002,11 +1046,9 @@
 // record feeds an outcome to the averages.
 func (b *Balancer) record(now Micros, r *request, a *attempt, status Status, latency Micros) {
 	e := a.ep
-	b.stats.Outcomes[min(status, Moot)]++
+	b.stats.outcome(a, status, latency)
 	switch status {
 	case OK:
-		b.stats.Expected += Micros(a.expected)
-		b.stats.Latency += latency
 		e.br.count(now, 1, 0)
 		e.br.latency(float64(latency))
 		e.errs, e.errAt = (1-failWeight)*e.failing(now), now
@@ -1050,9 +1092,13 @@
 		// Rough hints overstate the large and understate the small: learn how far they tell.
 		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/e.paceNow(now, b))))
 	}
-	warmth := e.warmth(now, b) // what is kept is the pace once warm
-	e.pace = ewma{v: e.paceNow(now, b) * warmth, seen: true}
-	e.pace.add(x*warmth, paceWeight)
+	slowed := e.slowed(now, b) // what is kept is the pace once warm
+	warm := e.paceNow(now, b) / slowed
+	e.pace = ewma{v: warm, seen: true}
+	e.pace.add(x/slowed, paceWeight)
+	if least := e.warmth(now, b); least < 1 && warm > 0 {
+		b.chill.add(min(1, max(0, (x/warm-1)/(1/least-1))), chillWeight)
+	}
 	e.paceAt = now
 	if atLeast {
 		return
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -22,6 +22,10 @@
 	list    []*endpoint // known endpoints in the order first heard of
 	listed  bool        // discovery has answered since the start
 	pool    []*endpoint // endpoints with a fresh answer
+	turn    *endpoint   // the cold one that may be sent to next
+	spare   float64     // work that all cold ones together may still get,
+	spareAt Micros      // as of then
+	chill   ewma        // of the slowness that the least warmth of a cold endpoint makes, the part that shows
 	largest float64     // share of any listed endpoint
 	asks    float64     // probes that go with a request, while sparse
 	sparse  bool        // probes are asked for single requests
@@ -45,6 +49,7 @@
 	waits       ewma // share of probes that waited in line
 	lag         ewma // share of load reports that must be late
 	usual       ewma // load of others at an endpoint, over all answers
+	usualCold   ewma // the same over those of cold ones: all send them little
 	reportsLate bool
 	trust       float64 // power of a hint that work grows with
 	trend       float64 // latencies over those that pace and load predict, for all endpoints together
@@ -93,6 +98,7 @@
 	lateAt   Micros  // when it should have had its outcome long ago
 	doubted  bool    // that has passed once
 	late     bool    // it is given up for lost, though its outcome may still come
+	cold     bool    // ep was warming up when sent to
 	out      bool    // no outcome yet
 	mayRun   bool    // it may have had its effect, or may yet
 }
@@ -103,8 +109,7 @@
 	seen     bool // named by the list being read
 	isCold   bool
 	coldFrom Micros  // start of its warm-up
-	room     float64 // work that it may still get while cold
-	roomAt   Micros
+	taken    float64 // work that it got from us while cold
 
 	inflight int    // own attempts without outcome
 	sentAt   Micros // latest own send
@@ -336,6 +341,12 @@
 	b.out.Log(fmt.Sprintf(format, args...))
 }
 
+// slowed is how many times longer than once warm a request takes at e. Its warmth is only the least that it may
+// have by now: how much of that slowness there is shows in the latencies of the cold ones.
+func (e *endpoint) slowed(now Micros, b *Balancer) float64 {
+	return 1 + (1/e.warmth(now, b)-1)*b.chill.v
+}
+
 // warmth is the least share of its capacity that e has by now.
 func (e *endpoint) warmth(now Micros, b *Balancer) float64 {
 	if !e.cold(now, b) {
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -17,6 +17,10 @@
 	Expected, Latency Micros // sums over the attempts answered OK
 	ProbeLatency      Micros // sum over the probes answered OK
 
+	// Of the sends and outcomes, those at endpoints that were warming up when sent to, and their time.
+	ColdSends, ColdOK, ColdTimeouts uint64
+	ColdExpected, ColdLatency       Micros
+
 	Held  float64 // sum of the requests that these reported
 	Lined uint64  // of these, those whose wait was taken for a line of requests
 
@@ -29,6 +33,24 @@
 	ReportsLate bool
 }
 
+// outcome counts how an attempt ended.
+func (s *Stats) outcome(a *attempt, status Status, latency Micros) {
+	s.Outcomes[min(status, Moot)]++
+	if status == OK {
+		s.Expected += Micros(a.expected)
+		s.Latency += latency
+	}
+	switch {
+	case !a.cold:
+	case status == OK:
+		s.ColdOK++
+		s.ColdExpected += Micros(a.expected)
+		s.ColdLatency += latency
+	case status == Timeout:
+		s.ColdTimeouts++
+	}
+}
+
 // Stats returns the counts so far and the state at this instant.
 func (b *Balancer) Stats(now Micros) Stats {
 	s := b.stats
@@ -56,12 +78,15 @@
 		return "[" + text[min(1, len(text)):] + "]"
 	}
 	ok, probed := s.Outcomes[OK]-old.Outcomes[OK], s.Probes[OK]-old.Probes[OK]
+	coldOK := s.ColdOK - old.ColdOK
 	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d outcomes=%s "+
-		"expected_ms=%.1f latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d listed=%d cold=%d ejected=%d "+
+		"expected_ms=%.1f latency_ms=%.1f cold_sends=%d cold_ok=%d cold_timeouts=%d cold_expected_ms=%.1f cold_latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d listed=%d cold=%d ejected=%d "+
 		"pooled=%d load=%.2f pace=%.2f slowdown=%.2f refused_share=%.2f reports_late=%v",
 		s.Requests-old.Requests, s.Sends-old.Sends, s.Refused-old.Refused, s.Failed-old.Failed,
 		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, statuses(&s.Outcomes, &old.Outcomes),
 		mean(s.Expected-old.Expected, ok), mean(s.Latency-old.Latency, ok),
+		s.ColdSends-old.ColdSends, coldOK, s.ColdTimeouts-old.ColdTimeouts,
+		mean(s.ColdExpected-old.ColdExpected, coldOK), mean(s.ColdLatency-old.ColdLatency, coldOK),
 		statuses(&s.Probes, &old.Probes), mean(s.ProbeLatency-old.ProbeLatency, probed),
 		(s.Held-old.Held)/float64(max(1, probed)), s.Lined-old.Lined,
 		s.Open, s.InFlight, s.Listed, s.Cold, s.Ejected, s.Pooled,
