Send a key to its second endpoints only where its first ones are too late

At 1500 requests a second a key of the usual kind comes three times a second, and every endpoint remembers a few dozen keys for seconds: four places share them too thinly, and each holds four times the keys.

To blame: home, which compared all four by load, so that small differences of old load answers spread every key over all of them.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -618,8 +618,8 @@
 	return last
 }
 
-// home returns the endpoint of least cost among the few that the request's key names, the same at every
-// balancer, or nil if it would be too late there. A picture of the whole fleet shows the same quiet endpoints
+// home returns the endpoint of least cost among the two that the request's key names, the same at every
+// balancer, or of the next two where it would be too late there, or nil. A picture of the whole fleet shows the same quiet endpoints
 // to all balancers, and they all go there; these few differ from key to key, and have met theirs lately.
 func (b *Balancer) home(now Micros, r *request, not *endpoint) *endpoint {
 	if !b.s.WarmKeys || r.Key == 0 {
@@ -629,7 +629,7 @@
 		e     *endpoint
 		score float64
 	}
-	var top [2*homesEach + 1]named // at home, elsewhere, and the cold one
+	var top [2 * homesEach]named // at home and elsewhere
 	for _, e := range b.list {
 		if e.State != Ready || e.ejected(now) || e.cold(now, b) {
 			continue // a cold one knows no keys
@@ -638,7 +638,7 @@
 		at := named{e, max(0.01, float64(e.Share)) / -math.Log(chance(r.Key, e.Name))}
 		side := top[:homesEach]
 		if int(e.Zone) != b.s.Zone {
-			side = top[homesEach : 2*homesEach]
+			side = top[homesEach:]
 		}
 		for rank := range side {
 			if at.score > side[rank].score {
@@ -646,20 +646,21 @@
 			}
 		}
 	}
-	top[2*homesEach].e = b.turn
-	var best *endpoint
-	var least float64
-	for _, at := range top {
-		if e := at.e; e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
-			if c := b.cost(now, r, e); best == nil || c < least {
-				best, least = e, c
+	for rank := range homesEach {
+		var best *endpoint
+		var least float64
+		for _, e := range [...]*endpoint{top[rank].e, top[homesEach+rank].e, b.turn} {
+			if e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
+				if c := b.cost(now, r, e); best == nil || c < least {
+					best, least = e, c
+				}
 			}
 		}
+		if best != nil && (b.crowding(best) <= 1 || b.predict(now, best, r.work) <= b.room(now, r, best)) {
+			return best
+		}
 	}
-	if best == nil || b.crowding(best) > 1 && b.predict(now, best, r.work) > b.room(now, r, best) {
-		return nil
-	}
-	return best
+	return nil
 }
 
 // pick returns the pooled endpoint of the least cost for r, leaving out those it must not or should not go
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -699,7 +699,7 @@
 	}
 }
 
-// Where endpoints remember keys, all balancers send a key to the same few of them, by load; only when it would
+// Where endpoints remember keys, all balancers send a key to the same two of them, by load; only when it would
 // be too late there does it go elsewhere.
 func TestKeyGoesToTheEndpointsItNames(t *testing.T) {
 	for _, c := range []struct {
@@ -709,7 +709,7 @@
 		jammed      bool // the endpoints that the key names
 		least, most int  // endpoints used
 	}{
-		{"warm keys", true, 5, false, 2, 4},
+		{"warm keys", true, 5, false, 1, 2},
 		{"keys are not remembered", false, 5, false, 12, 40},
 		{"no key", true, 0, false, 12, 40},
 		{"too late where the key is known", true, 5, true, 12, 40},
