--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -752,7 +752,7 @@
 					if c.jammed && names[id] {
 						return 60
 					}
-					return float32((uint64(id) + seed) % 3)
+					return float32((uint64(id)*13+seed*7)%5) / 2
 				}, seed)] = true
 			}
 			if len(used) < c.least || len(used) > c.most {
