--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -619,9 +619,9 @@
 }
 
 // home returns the endpoint of least cost among the two that the request's key names, the same at every
-// balancer, or of the next two where it would be too late there, or nil. A picture of the whole fleet shows the
-// same quiet endpoints to all balancers, and they all go there; these few differ from key to key, and have met
-// theirs lately.
+// balancer, or of the next two where it would be too late there, or nil. A picture of the whole fleet shows
+// the same quiet endpoints to all balancers, and they all go there; these few differ from key to key, and
+// have met theirs lately.
 func (b *Balancer) home(now Micros, r *request, not *endpoint) *endpoint {
 	if !b.s.WarmKeys || r.Key == 0 {
 		return nil
