Average the usual load over more answers where a sidecar's own are few

Endpoints hold 1.6 on average; those that refuse hold a usual load of 2.1 to 7.6 to be so, the others of 0.1 to 1.8.

Ruled out: pace (1.2 to 2.1 in both groups) and late reports (none of the 11).

To blame: the usual load, an average whose first sample is taken whole and each later one by a tenth. With a probe a second over 60 endpoints, most endpoints have no fresh answer and are taken to be so loaded: the last few answers decide for all. It is now the plain mean at first and then over 33 answers, where a turn of own probes takes too long; where probes are many nothing changes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -338,6 +338,7 @@
 	probeBatch   = 3           // endpoints a round
 	waitsTell    = 0.05        // share of probes that waited from which all are taken to stand in line
 	usualWeight  = 0.1         // of the latest answer in the usual load
+	usualThin    = 0.03        // the same where answers are few
 	meanWeight   = 0.1         // the same in the mean load at one endpoint
 	lineLeast    = 0.5         // requests a probe must have waited for to count
 	ownTells     = 0.1         // own requests held at an endpoint from which own counts tell its load
@@ -510,10 +511,14 @@
 		}
 		e.hasLoad, e.answerAt = true, now
 		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.inflight
+		weight := usualWeight
+		if b.thin(now) {
+			weight = usualThin
+		}
 		if e.cold(now, b) {
-			b.usualCold.add(e.others, usualWeight)
+			b.usualCold.add(e.others, weight)
 		} else {
-			b.usual.add(e.others, usualWeight)
+			b.usual.add(e.others, weight)
 		}
 		e.mean.add(e.others, meanWeight)
 		if b.waits.v > waitsTell && line < lineLeast && b.usual.v < cores {
@@ -534,6 +539,14 @@
 	}
 }
 
+// thin says that a turn of the whole list by own probes takes longer than answers are of use. One of many
+// balancers, with its small share of the requests and so of the probes, sees each endpoint once a minute:
+// most of what it sends goes by the usual load, and a few odd answers in that would refuse all, as if every
+// endpoint were busy.
+func (b *Balancer) thin(now Micros) bool {
+	return float64(len(b.list))/b.probeRate(now) > poolRounds*float64(poolAge)/float64(second)
+}
+
 // line is how many requests are ahead of a probe that waits so long.
 func (b *Balancer) line(waited float64) float64 { return waited / b.classes[0].work.v * cores }
 
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -826,3 +826,30 @@
 		t.Errorf("one cold endpoint got %d, its warmth makes %.1f", most, fair)
 	}
 }
+
+// A balancer that probes one endpoint of sixty a second must not refuse by what its last few answers happened to be;
+// one whose probes are many follows them.
+func TestFewAnswersMakeNoBusyFleet(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		endpoints   int
+		answers     []float32
+		least, most float64 // of the usual load
+	}{
+		{"the first is odd", 60, []float32{9, 1, 1, 1, 1, 1, 1, 1, 1, 1}, 1, 2},
+		{"the latest are odd", 60, []float32{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 9, 9}, 1, 2},
+		{"probes are many", 2, []float32{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 9, 9}, 2, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := testSettings()
+			s.Balancers, s.Prices.Probe = 80, 0.08
+			b, _ := start(t, s, ready(c.endpoints))
+			for i, load := range c.answers {
+				b.Probed(Micros(i)*second, uint32(i%c.endpoints+1), OK, 500, []float32{load})
+			}
+			if got := b.usual.v; got < c.least || got > c.most {
+				t.Errorf("the usual load is %.2f, want %.1f to %.1f", got, c.least, c.most)
+			}
+		})
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -48,8 +48,8 @@
 
 	waits       ewma // share of probes that waited in line
 	lag         ewma // share of load reports that must be late
-	usual       ewma // load of others at an endpoint, over all answers
-	usualCold   ewma // the same over those of cold ones: all send them little
+	usual       mean // load of others at an endpoint, over all answers
+	usualCold   mean // the same over those of cold ones: all send them little
 	reportsLate bool
 	trust       float64 // power of a hint that work grows with
 	trend       float64 // latencies over those that pace and load predict, for all endpoints together
@@ -158,6 +158,18 @@
 	a.v += (x - a.v) * weight
 }
 
+// mean is a moving average that begins as the plain mean of its samples, until the weight counts for more: where
+// samples are few, the first one taken whole would stand for what all are like for many seconds.
+type mean struct {
+	v float64
+	n int
+}
+
+func (m *mean) add(x, weight float64) {
+	m.n = min(m.n+1, 1<<20)
+	m.v += (x - m.v) * max(weight, 1/float64(m.n))
+}
+
 func (a *ewma) or(fallback float64) float64 {
 	if a.seen {
 		return a.v
