Begin the usual load low, as sure as ten answers

To blame: New and Start, which leave the usual load without a value, so that the first answer is all that is known of 60 endpoints.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,7 @@
 	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
 	b.trend, b.trust = 1, 0.5
 	b.chill = ewma{v: chillFirst, seen: true}
+	b.usual = mean{v: usualFirst, n: usualGuess}
 	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
 	if b.s.Subscribe {                                 // all may start at once: spread their first calls
@@ -338,6 +339,8 @@
 	probeBatch   = 3           // endpoints a round
 	waitsTell    = 0.05        // share of probes that waited from which all are taken to stand in line
 	usualWeight  = 0.1         // of the latest answer in the usual load
+	usualFirst   = 0.5         // the usual load, until answers tell,
+	usualGuess   = 10          // as sure as so many of them
 	usualThin    = 0.03        // the same where answers are few
 	meanWeight   = 0.1         // the same in the mean load at one endpoint
 	lineLeast    = 0.5         // requests a probe must have waited for to count
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -837,6 +837,7 @@
 		least, most float64 // of the usual load
 	}{
 		{"the first is odd", 60, []float32{9, 1, 1, 1, 1, 1, 1, 1, 1, 1}, 1, 2},
+		{"all so far are odd", 60, []float32{9, 9}, 1, 3},
 		{"the latest are odd", 60, []float32{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 9, 9}, 1, 2},
 		{"probes are many", 2, []float32{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 9, 9}, 2, 3},
 	} {
