Refuse at a key's endpoints what is late there, where the pool holds old answers only

To blame: home returned nothing where its four were too late, and pick went through the whole pool. There freshFor lets an answer stand for three turns of the fleet, 180 s at one probe a second, so that every sidecar finds some endpoint that was quiet long ago. It does not know the key, does the whole work, and so its own keys come late, too.

Where a turn of own probes takes too long, the best of the four now stands, and is refused if it is too late. Elsewhere the pool is fresh, and used as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -637,7 +637,8 @@
 // home returns the endpoint of least cost among the two that the request's key names, the same at every
 // balancer, or of the next two where it would be too late there, or nil. A picture of the whole fleet shows
 // the same quiet endpoints to all balancers, and they all go there; these few differ from key to key, and
-// have met theirs lately.
+// have met theirs lately. Where own answers are few, what the pool has to show beyond them is old: what is
+// too late at all four is then refused there, or it would only take the time of others without their keys.
 func (b *Balancer) home(now Micros, r *request, not *endpoint) *endpoint {
 	if !b.s.WarmKeys || r.Key == 0 {
 		return nil
@@ -663,6 +664,7 @@
 			}
 		}
 	}
+	var first *endpoint
 	for rank := range homesEach {
 		var best *endpoint
 		var least float64
@@ -676,6 +678,12 @@
 		if best != nil && (b.crowding(best) <= 1 || b.predict(now, best, r.work) <= b.room(now, r, best)) {
 			return best
 		}
+		if first == nil {
+			first = best
+		}
+	}
+	if b.thin(now) {
+		return first
 	}
 	return nil
 }
