--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -545,9 +545,10 @@
 // thin says that a turn of the whole list by own probes takes longer than answers are of use. One of many
 // balancers, with its small share of the requests and so of the probes, sees each endpoint once a minute:
 // most of what it sends goes by the usual load, and a few odd answers in that would refuse all, as if every
-// endpoint were busy.
+// endpoint were busy. Without probes, or figures in them, own requests in flight are all that is known.
 func (b *Balancer) thin(now Micros) bool {
-	return float64(len(b.list))/b.probeRate(now) > poolRounds*float64(poolAge)/float64(second)
+	return b.s.Limits.Probes && len(b.s.Fields) > 0 &&
+		float64(len(b.list))/b.probeRate(now) > poolRounds*float64(poolAge)/float64(second)
 }
 
 // line is how many requests are ahead of a probe that waits so long.
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -863,3 +863,26 @@
 		})
 	}
 }
+
+// Where there are no probes, two random draws serve beyond the endpoints that a key names, as everywhere else.
+func TestKeyWithoutProbesGoesElsewhere(t *testing.T) {
+	s := testSettings()
+	s.WarmKeys, s.Balancers, s.Limits.Probes, s.Prices.Probe = true, 40, false, 0.08
+	list := ready(40)
+	for i := range list {
+		list[i].Zone, list[i].Name = 0, uint64(i+1)
+	}
+	b, r := start(t, s, list)
+	used := map[uint32]bool{}
+	for id := range uint64(60) {
+		q := request0(id, 0, 1000)
+		q.Key = 5
+		b.Request(1000, q)
+	}
+	for _, s := range r.sends {
+		used[s.endpoint] = true
+	}
+	if len(r.refused) > 0 || len(used) < 10 {
+		t.Errorf("%d of 60 refused, %d endpoints used", len(r.refused), len(used))
+	}
+}
