Take the clients' socket as it is passed, and tell health at a second address

Design: the listener is made from the descriptor that BALANCER_PASSED_SOCKET names; closing it ends only this process's hold. The second address, where admin_addr or BALANCER_ADMIN_ADDR names one, has an HTTP server of its own with 12 connections, of which the longest silent makes room, and one call to each. The variable goes ahead of the file: it is what differs between the two processes.

Not taken: SO_REUSEPORT on a socket of our own. What waits in the backlog of the one that ends is then reset, and each such request counts. Nor calls on the clients' address: there they would wait among thousands.

--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -169,3 +169,62 @@
 		t.Errorf("the program ended with %v, want exit code 0", err)
 	}
 }
+
+// While the first process serves, a second one takes the same socket, says that
+// it is ready at its own second address, and goes on when the first is ended.
+func TestReplacedOnThePassedSocket(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	file, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	answers := func(url string) func() bool {
+		return func() bool {
+			response, err := http.Get(url)
+			if err != nil {
+				return false
+			}
+			response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		}
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	shared := t.TempDir()
+	launch := func() (*exec.Cmd, func() bool) {
+		second := freeAddress(t)
+		cmd := command(t, config("127.0.0.1:1")) // an address that it could not listen on
+		cmd.ExtraFiles = []*os.File{file}
+		cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "BALANCER_ADMIN_ADDR="+second, "TMPDIR="+shared)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill() })
+		return cmd, answers("http://" + second + "/admin/health")
+	}
+	clients := answers("http://" + held.Addr().String() + "/health/ready")
+	first, healthy := launch()
+	await(t, "the first process to be ready", healthy)
+	await(t, "the clients' side", clients)
+	second, healthy := launch()
+	await(t, "the second process to be ready", healthy)
+	if err := first.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Wait(); err != nil {
+		t.Errorf("the first process ended with %v, want exit code 0", err)
+	}
+	if !healthy() || !clients() {
+		t.Error("the second process does not serve alone")
+	}
+	if err := second.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := second.Wait(); err != nil {
+		t.Errorf("the second process ended with %v, want exit code 0", err)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/admin.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	adminMost    = 12              // callers at once: their descriptors are part of socketSpare
+	adminTimeout = 2 * time.Second // for a call to come whole, and for its answer to leave
+	adminHead    = 4 << 10         // bytes of a call's head
+	adminBody    = 4 << 10         // bytes of a call's body, of which nothing is used
+)
+
+// admin answers the operators' calls at the second address. It shares nothing
+// with the clients' side but the loop, and goes ahead of the requests there: staff
+// must be heard when the sidecar is at its worst.
+type admin struct {
+	server *server
+	http   http.Server
+	calls  map[string]call
+}
+
+// call is what one path does.
+type call struct {
+	method string
+	do     func(in *http.Request) error
+}
+
+// refusal is a call's no, with its status.
+type refusal struct {
+	code   int
+	reason string
+}
+
+func (r *refusal) Error() string { return r.reason }
+
+func newAdmin(s *server) *admin {
+	a := &admin{server: s}
+	a.calls = map[string]call{
+		"/admin/health": {http.MethodGet, a.health},
+	}
+	a.http = http.Server{Handler: http.HandlerFunc(a.handle), ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
+		MaxHeaderBytes: adminHead, ErrorLog: slog.NewLogLogger(s.loop.log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		}}
+	a.http.SetKeepAlivesEnabled(false) // one call to a connection
+	return a
+}
+
+// serve answers calls until the listener is closed. Beyond its few connections
+// the one that has waited longest for its call makes room.
+func (a *admin) serve(listener net.Listener) {
+	a.http.Serve(&clients{Listener: listener, most: adminMost, mostAsked: adminMost})
+}
+
+func (a *admin) handle(w http.ResponseWriter, in *http.Request) {
+	if _, ok := in.Context().Value(connKey{}).(*clientConn).begin(in.ContentLength); !ok {
+		panic(http.ErrAbortHandler) // it has just made room
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c, ok := a.calls[in.URL.Path]
+	if !ok {
+		http.Error(w, "no such call", http.StatusNotFound)
+		return
+	}
+	if in.Method != c.method {
+		w.Header().Set("Allow", c.method)
+		http.Error(w, "this call is "+c.method, http.StatusMethodNotAllowed)
+		return
+	}
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, in.Body, adminBody)); err != nil {
+		http.Error(w, "the call's body could not be read, or is too large", http.StatusBadRequest)
+		return
+	}
+	if err := c.do(in); err != nil {
+		code := http.StatusInternalServerError
+		if r, ok := err.(*refusal); ok {
+			code = r.code
+		}
+		http.Error(w, err.Error(), code)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+// health says whether this process is ready to serve.
+func (a *admin) health(*http.Request) error {
+	if !a.server.isReady() {
+		return &refusal{http.StatusServiceUnavailable, "not ready"}
+	}
+	return nil
+}
+
+// listenAdmin opens the second address.
+func listenAdmin(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("admin_addr: %w", err)
+	}
+	return listener, nil
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -23,6 +23,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // the second address; empty where there is none
+	Passed    string // the descriptor of an inherited listening socket; empty where there is none
 	Seed      uint64
 	Limits    Limits
 	Settings  balancer.Settings
@@ -43,7 +45,12 @@
 // leastSockets is what a sidecar needs to serve anything at all.
 const leastSockets = 64
 
-// LoadConfig reads a configuration file. Its errors name the key at fault.
+// adminVar names the second address, which differs between the processes of one
+// sidecar while all else is the same.
+const adminVar = "BALANCER_ADMIN_ADDR"
+
+// LoadConfig reads a configuration file, and what the environment adds to it. Its
+// errors name the key or variable at fault.
 func LoadConfig(path string) (*Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -53,14 +60,30 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if own := os.Getenv(adminVar); own != "" {
+		cfg.Admin = own
+	}
+	if err := checkAdmin(cfg.Admin); err != nil {
+		return nil, err
+	}
+	cfg.Passed = os.Getenv(passedVar)
 	return cfg, nil
 }
 
+// checkAdmin accepts an address to listen on, or none.
+func checkAdmin(address string) error {
+	if _, _, err := net.SplitHostPort(address); err != nil && address != "" {
+		return fmt.Errorf("admin_addr: %q is not host:port", address)
+	}
+	return nil
+}
+
 func parseConfig(data []byte) (*Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Admin     string          `json:"admin_addr"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     registry        `json:"known"`
@@ -87,7 +110,7 @@
 	if err := file.Known.validate(); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
-	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin,
 		Seed: seed, Limits: file.Limits, known: file.Known}
 	if err := cfg.readSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- /dev/null
+++ b/internal/sidecar/passed.go
@@ -0,0 +1,57 @@
+package sidecar
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+)
+
+// passedVar names the descriptor of the clients' listening socket, where the
+// platform holds that and every process of the sidecar inherits it.
+const passedVar = "BALANCER_PASSED_SOCKET"
+
+// listen returns the clients' listener: the inherited one, or one at an address
+// of its own where none is passed.
+func listen(address, passed string) (net.Listener, error) {
+	if passed == "" {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return listener, nil
+	}
+	listener, err := inherit(passed)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", passedVar, err)
+	}
+	return listener, nil
+}
+
+// inherit takes a listening TCP socket over. To close the listener ends only this
+// process's hold on the socket: others go on accepting from it.
+func inherit(passed string) (net.Listener, error) {
+	fd, err := strconv.Atoi(passed)
+	if err != nil || fd < 0 {
+		return nil, fmt.Errorf("%q is not the number of a descriptor", passed)
+	}
+	accepts, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d is no socket: %w", fd, err)
+	}
+	if accepts == 0 {
+		return nil, fmt.Errorf("descriptor %d does not listen", fd)
+	}
+	file := os.NewFile(uintptr(fd), "passed")
+	listener, err := net.FileListener(file) // has a descriptor of its own
+	file.Close()
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	if _, ok := listener.(*net.TCPListener); !ok {
+		listener.Close()
+		return nil, fmt.Errorf("descriptor %d listens on %s, not TCP", fd, listener.Addr().Network())
+	}
+	return listener, nil
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -54,9 +54,17 @@
 // Run serves until ctx ends, then answers what it has taken and returns. New
 // configurations may come at any time.
 func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(cfg.Listen, cfg.Passed)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
+	}
+	var second net.Listener
+	if cfg.Admin != "" {
+		if second, err = listenAdmin(cfg.Admin); err != nil {
+			listener.Close()
+			return err
+		}
+		defer second.Close()
 	}
 	// The loop outlives ctx: requests in hand still need it.
 	loopCtx, stop := context.WithCancel(context.Background())
@@ -71,7 +79,11 @@
 			l.post(func(balancer.Micros) { l.reload(next) })
 		}
 	}()
-	return newServer(l).serve(ctx, listener)
+	s := newServer(l)
+	if second != nil {
+		go newAdmin(s).serve(second)
+	}
+	return s.serve(ctx, listener)
 }
 
 // connections is the most that clients may hold, and the most to endpoints:
@@ -132,8 +144,11 @@
 	return nil
 }
 
+// isReady says whether clients may send requests here.
+func (s *server) isReady() bool { return !s.ending.Load() && s.loop.listed.Load() }
+
 func (s *server) ready(w http.ResponseWriter) {
-	if s.ending.Load() || !s.loop.listed.Load() {
+	if !s.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
