Leave endpoints out by hand in the module, kept in a state file over upgrades

Design: the balancer holds a set of names beside discovery's states; lists neither fill nor clear it. What is out gets no request, probe or turn; the loop closes its target, so that a send on its way does not start. The call back makes it a new, cold process. The loop takes calls ahead of its events. Each call writes the whole state to one file by rename, under a lock of its own, and says yes once that is stored and holds; the other process looks for a new file every 50 ms.

One request now goes there at once, at up to ten balancers, since one each from hundreds would be more than a cold one bears.

Not taken: taking the endpoint out of discovery's list. The next list, or its restart, puts it back. Nor calls between the two processes: one may be starting, ending or stuck.

Tests: cordon_test.go and the calls, the shared, stored and damaged state in admin_test.go.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,7 +31,8 @@
 	}
 	b := &Balancer{
 		s: s, out: out, rng: source(seed),
-		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
+		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, cordoned: map[uint64]bool{},
+		logged:  map[string]Micros{},
 		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
 	}
 	for i := range b.classes {
@@ -102,7 +103,7 @@
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
 	if r.ended || r.stream || r.waits(b.s.Limits.SecondCopies) || now >= r.Deadline ||
-		len(r.attempts) >= b.s.Limits.MaxAttempts || e.State != Ready {
+		len(r.attempts) >= b.s.Limits.MaxAttempts || !e.usable() {
 		return false
 	}
 	if e.cold(now, b) && !b.coldRoom(now, e, r.work) {
@@ -128,6 +129,7 @@
 	if cold {
 		b.spare -= r.work * coldCharge
 		e.taken += r.work * coldCharge
+		e.owed = false
 		b.turn = nil
 		b.stats.ColdSends++
 	}
@@ -236,6 +238,7 @@
 		// A new process owes nothing to the old one's record.
 		*e = endpoint{inflight: e.inflight}
 	}
+	e.out = b.cordoned[in.Name]
 	started := in.StartTime
 	if started == 0 && fresh && b.listed {
 		started = now // it appeared while we watched
@@ -243,17 +246,49 @@
 	e.Endpoint, e.seen = *in, true
 	b.largest = max(b.largest, float64(e.Share))
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
-		// A quiet balancer takes long to earn one send: all start somewhere on that way, and with another
-		// endpoint, or none would send anything while it is cold.
-		e.isCold, e.coldFrom = true, min(started, now)
-		e.taken = b.rng.float() * coldCharge * b.classes[0].work.v
-		b.spare = max(b.spare, b.rng.float()*coldCharge*b.classes[0].work.v)
+		b.chilled(now, e, started)
 	}
 	if probe && (fresh || restarted) {
 		b.probe(now, e)
 	}
 }
 
+// chilled marks e as warming up since then.
+func (b *Balancer) chilled(now Micros, e *endpoint, since Micros) {
+	// A quiet balancer takes long to earn one send: all start somewhere on that way, and with another
+	// endpoint, or none would send anything while it is cold.
+	e.isCold, e.coldFrom = true, min(since, now)
+	e.taken = b.rng.float() * coldCharge * b.classes[0].work.v
+	b.spare = max(b.spare, b.rng.float()*coldCharge*b.classes[0].work.v)
+}
+
+// Cordon leaves out every endpoint of this name, whatever discovery says of it, or ends that. What was out by
+// hand was likely restarted: it comes back as a new process that owes nothing to the old one's record, cold
+// since then.
+func (b *Balancer) Cordon(now Micros, name uint64, out bool, since Micros) {
+	if out {
+		b.cordoned[name] = true
+	} else {
+		delete(b.cordoned, name)
+	}
+	for _, e := range b.list {
+		if e.Name != name || e.out == out {
+			continue
+		}
+		if e.out = out; !out {
+			*e = endpoint{Endpoint: e.Endpoint, seen: e.seen, inflight: e.inflight, pooled: e.pooled}
+			if now-since < b.s.Contract.RampTime {
+				b.chilled(now, e, since)
+				// Staff wait to see it serve. One request each is soon more than it can bear.
+				if e.owed = b.rng.float()*float64(b.s.Balancers) < owedMost; e.owed {
+					b.spare = max(b.spare, 2*coldCharge*b.classes[0].work.v) // and its probes
+				}
+			}
+			b.probe(now, e)
+		}
+	}
+}
+
 // The cold endpoints together get at most a share of what their warmth makes of our own mean work per warm
 // endpoint, each in its turn. All balancers doing so, what one of them gets stays under what it can do; none
 // needs to know of the others. One of many balancers would take minutes to earn a send to each of them apart,
@@ -265,6 +300,7 @@
 	chillFirst  = 0.2 // of the slowness that the least warmth makes, until more is known
 	chillWeight = 0.05
 	probeShare  = 0.01 // of a request's work, taken from the cold endpoints' room by a probe
+	owedMost    = 10   // balancers that send one at once to an endpoint put back by hand
 )
 
 // coldRoom says whether it is the turn of a cold endpoint, and a request of this work fits.
@@ -281,7 +317,7 @@
 	var warm, ready, cold, least float64
 	b.turn = nil
 	for _, o := range b.list {
-		if o.State != Ready {
+		if !o.usable() {
 			continue
 		}
 		ready++
@@ -291,7 +327,7 @@
 		}
 		warmth := o.warmth(now, b)
 		cold += warmth
-		if got := (o.taken + work) / warmth; b.turn == nil || got < least {
+		if got := (o.taken + work) / warmth * share(!o.owed); b.turn == nil || got < least {
 			b.turn, least = o, got
 		}
 	}
@@ -436,7 +472,7 @@
 }
 
 func (b *Balancer) probe(now Micros, e *endpoint) {
-	if lost := now-e.probedAt > 5*second; b.s.Limits.Probes && e.State == Ready && (lost || !e.probing) {
+	if lost := now-e.probedAt > 5*second; b.s.Limits.Probes && e.usable() && (lost || !e.probing) {
 		e.probing, e.probedAt = true, now
 		b.spare -= probeShare * b.classes[0].work.v * share(e.cold(now, b))
 		b.out.Probe(e.ID)
@@ -458,7 +494,7 @@
 	gap := float64(n) / rate * float64(second)
 	for try := 0; n > 0 && try < 4*probeBatch && len(b.list) > 0; try++ {
 		e := b.list[int(b.rng.float()*float64(len(b.list)))]
-		if e.State == Ready && !e.probing {
+		if e.usable() && !e.probing {
 			b.probe(now, e)
 			n--
 		}
@@ -650,7 +686,7 @@
 	}
 	var top [2 * homesEach]named // at home and elsewhere
 	for _, e := range b.list {
-		if e.State != Ready || e.ejected(now) || e.cold(now, b) {
+		if !e.usable() || e.ejected(now) || e.cold(now, b) {
 			continue // a cold one knows no keys
 		}
 		// The larger an endpoint, the more keys name it.
@@ -702,9 +738,12 @@
 		}
 	}
 	b.pool = slices.DeleteFunc(b.pool, func(e *endpoint) bool {
-		e.pooled = e.State == Ready && now-e.answerAt <= fresh
+		e.pooled = e.usable() && now-e.answerAt <= fresh
 		return !e.pooled
 	})
+	if e := b.turn; e != nil && e.owed && e.heardAt > 0 && e != not && b.maySend(now, r, e) {
+		return e
+	}
 	if e := b.home(now, r, not); e != nil {
 		return e
 	}
--- /dev/null
+++ b/balancer/cordon_test.go
@@ -0,0 +1,110 @@
+package balancer
+
+import "testing"
+
+// named gives the endpoints of a list names.
+func named(list []Endpoint) []Endpoint {
+	for i := range list {
+		list[i].Name = uint64(100 + list[i].ID)
+	}
+	return list
+}
+
+// What is left out by hand gets neither requests nor probes, whatever discovery
+// says of it; two calls out need one back.
+func TestCordonedGetsNothing(t *testing.T) {
+	list := named(ready(2))
+	b, r := start(t, testSettings(), list)
+	now := Micros(0)
+	id := uint64(0)
+	play := func() (to [3]int) {
+		r.sends = r.sends[:0]
+		for range 200 {
+			now += 20_000
+			id++
+			b.Request(now, request0(id, 0, now))
+			b.Timer(now, tokenProbe)
+			for _, p := range r.probes {
+				b.Probed(now, p, OK, 1000, []float32{0})
+				if p == 1 {
+					to[0]++ // probes of the first
+				}
+			}
+			r.probes = r.probes[:0]
+			s := r.sends[len(r.sends)-1]
+			to[s.endpoint]++
+			b.Outcome(now+10_000, Outcome{ID: s.id, Endpoint: s.endpoint, Status: OK, Latency: 10_000, Settled: true})
+		}
+		return to
+	}
+	if to := play(); to[1] == 0 || to[0] == 0 {
+		t.Fatalf("before the call: %v", to)
+	}
+	b.Cordon(now, 101, true, now)
+	b.Cordon(now, 101, true, now)
+	restarted := list[0]
+	restarted.StartTime = now + 1
+	gone := list[0]
+	gone.State = Gone
+	for name, news := range map[string][]Endpoint{"no news": nil, "a restart": {restarted}, "gone and back": {gone, restarted}} {
+		for i := range news {
+			b.Members(now, ListDelta, news[i:i+1])
+		}
+		if to := play(); to[1] != 0 || to[0] != 0 || to[2] != 200 {
+			t.Errorf("after %s: %v", name, to)
+		}
+	}
+	if s := b.Stats(now); s.Cordoned != 1 {
+		t.Errorf("%d counted as left out, want 1", s.Cordoned)
+	}
+	b.Cordon(now, 101, false, now)
+	e := b.byID[1]
+	if !e.cold(now, b) {
+		t.Error("it comes back warm")
+	}
+	if to := play(); to[1] == 0 {
+		t.Errorf("after the call back: %v", to)
+	}
+	if b.Cordon(now, 101, false, now); b.byID[1].coldFrom != e.coldFrom {
+		t.Error("a call back repeated begins its warm-up anew")
+	}
+}
+
+// An endpoint that is out when it is first listed stays out.
+func TestCordonedBeforeItIsListed(t *testing.T) {
+	b, r := start(t, testSettings(), nil)
+	b.Cordon(0, 101, true, 0)
+	b.Members(0, ListFull, named(ready(1)))
+	b.Request(1, request0(1, 0, 1))
+	if len(r.sends) != 0 || len(r.refused) != 1 {
+		t.Errorf("sent %v, refused %v", r.sends, r.refused)
+	}
+}
+
+// One put back by hand is sent to at once, though the warm ones would be quicker;
+// of a thousand balancers only a few do so.
+func TestPutBackIsUsedSoon(t *testing.T) {
+	used := 0
+	for seed := range uint64(1000) {
+		s := testSettings()
+		s.Balancers = 1000
+		r := &recorder{}
+		b, err := New(s, seed, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		b.Members(0, ListCached, named(ready(10)))
+		now := 30 * second
+		b.Cordon(now, 101, true, now)
+		b.Cordon(now, 101, false, now)
+		b.Probed(now+1000, 1, OK, 1000, []float32{0})
+		b.Request(now+2000, request0(1, 0, now+2000))
+		if len(r.sends) == 1 && r.sends[0].endpoint == 1 {
+			used++
+		}
+	}
+	if used < 1 || used > 4*owedMost {
+		t.Errorf("%d of 1000 balancers sent to it at once, want about %d", used, owedMost)
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -18,17 +18,18 @@
 	open     int                 // requests without final answer
 	held     []*request          // requests that wait for probes
 
-	byID    map[uint32]*endpoint
-	list    []*endpoint // known endpoints in the order first heard of
-	listed  bool        // discovery has answered since the start
-	pool    []*endpoint // endpoints with a fresh answer
-	turn    *endpoint   // the cold one that may be sent to next
-	spare   float64     // work that all cold ones together may still get,
-	spareAt Micros      // as of then
-	chill   ewma        // of the slowness that the least warmth of a cold endpoint makes, the part that shows
-	largest float64     // share of any listed endpoint
-	asks    float64     // probes that go with a request, while sparse
-	sparse  bool        // probes are asked for single requests
+	byID     map[uint32]*endpoint
+	list     []*endpoint     // known endpoints in the order first heard of
+	cordoned map[uint64]bool // names of endpoints that are left out by hand
+	listed   bool            // discovery has answered since the start
+	pool     []*endpoint     // endpoints with a fresh answer
+	turn     *endpoint       // the cold one that may be sent to next
+	spare    float64         // work that all cold ones together may still get,
+	spareAt  Micros          // as of then
+	chill    ewma            // of the slowness that the least warmth of a cold endpoint makes, the part that shows
+	largest  float64         // share of any listed endpoint
+	asks     float64         // probes that go with a request, while sparse
+	sparse   bool            // probes are asked for single requests
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
@@ -107,6 +108,8 @@
 type endpoint struct {
 	Endpoint
 	seen     bool // named by the list being read
+	out      bool // left out by hand
+	owed     bool // put back by hand, and a request is to show that it serves
 	isCold   bool
 	coldFrom Micros  // start of its warm-up
 	taken    float64 // work that it got from us while cold
@@ -353,6 +356,9 @@
 	b.out.Log(fmt.Sprintf(format, args...))
 }
 
+// usable says whether e may be sent to at all.
+func (e *endpoint) usable() bool { return e.State == Ready && !e.out }
+
 // slowed is how many times longer than once warm a request takes at e. Its warmth is only the least that it may
 // have by now: how much of that slowness there is shows in the latencies of the cold ones.
 func (e *endpoint) slowed(now Micros, b *Balancer) float64 {
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -7,7 +7,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
+	"os"
 	"time"
+
+	"peatpost/balancer"
 )
 
 const (
@@ -22,6 +26,7 @@
 // must be heard when the sidecar is at its worst.
 type admin struct {
 	server *server
+	store  *store
 	http   http.Server
 	calls  map[string]call
 }
@@ -41,9 +46,13 @@
 func (r *refusal) Error() string { return r.reason }
 
 func newAdmin(s *server) *admin {
-	a := &admin{server: s}
+	cfg := s.loop.cfg
+	a := &admin{server: s, store: &store{dir: os.TempDir(), sidecar: cfg.Name, log: s.loop.log,
+		keep: time.Duration(cfg.Settings.Contract.RampTime) * time.Microsecond, hold: s.hold}}
 	a.calls = map[string]call{
-		"/admin/health": {http.MethodGet, a.health},
+		"/admin/health":   {http.MethodGet, a.health},
+		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
+		"/admin/uncordon": {http.MethodPost, func(in *http.Request) error { return a.cordon(in, false) }},
 	}
 	a.http = http.Server{Handler: http.HandlerFunc(a.handle), ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
 		MaxHeaderBytes: adminHead, ErrorLog: slog.NewLogLogger(s.loop.log.Handler(), slog.LevelDebug),
@@ -54,9 +63,32 @@
 	return a
 }
 
-// serve answers calls until the listener is closed. Beyond its few connections
-// the one that has waited longest for its call makes room.
+// load takes up what the process before this one was told. It comes before the loop
+// runs, so that nothing is sent to an endpoint that is left out.
+func (a *admin) load() {
+	st := a.store.read()
+	a.store.last = st
+	a.server.loop.mark(a.server.loop.clock.now(), st.Hosts)
+}
+
+// serve answers calls until the loop ends, and follows what the other process of
+// this sidecar is told. Beyond its few connections the one that has waited longest
+// for its call makes room.
 func (a *admin) serve(listener net.Listener) {
+	a.store.refresh()
+	go func() {
+		poll := time.NewTicker(statePoll)
+		defer poll.Stop()
+		for {
+			select {
+			case <-poll.C:
+				a.store.refresh()
+			case <-a.server.loop.ctx.Done():
+				a.http.Close()
+				return
+			}
+		}
+	}()
 	a.http.Serve(&clients{Listener: listener, most: adminMost, mostAsked: adminMost})
 }
 
@@ -98,6 +130,24 @@
 	return nil
 }
 
+// cordon leaves an endpoint out, or lets it serve again.
+func (a *admin) cordon(in *http.Request, out bool) error {
+	query, err := url.ParseQuery(in.URL.RawQuery)
+	if err != nil {
+		return &refusal{http.StatusBadRequest, "the query could not be read"}
+	}
+	names := query["name"]
+	if len(names) != 1 || names[0] == "" {
+		return &refusal{http.StatusBadRequest, "name=ID must name one endpoint"}
+	}
+	name, known := names[0], false
+	a.server.loop.urge(func(balancer.Micros) { known = a.server.loop.knows(name) })
+	if !known {
+		return &refusal{http.StatusNotFound, "no endpoint has this name"}
+	}
+	return a.store.update(func(st *state) { st.set(name, out, time.Now()) })
+}
+
 // listenAdmin opens the second address.
 func listenAdmin(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -4,20 +4,24 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 )
 
-// second gives a running sidecar its second address.
-func (w *world) second() string {
+// second gives a running sidecar its second address, and a folder for its state.
+func (w *world) second(dir string) string {
 	w.t.Helper()
 	listener, err := listenAdmin("127.0.0.1:0")
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { listener.Close() })
-	go newAdmin(w.server).serve(listener)
+	a := newAdmin(w.server)
+	a.store.dir = dir
+	go a.serve(listener)
 	return listener.Addr().String()
 }
 
@@ -60,7 +64,7 @@
 func TestAdminBadCalls(t *testing.T) {
 	e := newEndpoint(t, always(served))
 	w := start(t, nil, ready("s-1", e.address))
-	address := w.second()
+	address := w.second(t.TempDir())
 	for name, c := range map[string]struct{ text, want string }{
 		"health":         {"GET /admin/health HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200"},
 		"two calls":      {strings.Repeat("GET /admin/health HTTP/1.1\r\nHost: a\r\n\r\n", 2), "HTTP/1.1 200"},
@@ -92,7 +96,7 @@
 func TestAdminAnswersBesideSilentCallers(t *testing.T) {
 	e := newEndpoint(t, always(served))
 	w := start(t, nil, ready("s-1", e.address))
-	address := w.second()
+	address := w.second(t.TempDir())
 	for range 3 * adminMost {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
@@ -114,7 +118,7 @@
 	e := newEndpoint(t, always(served))
 	w := &world{t: t, dir: newDirectory(t)}
 	w.launch(configure(t, w.dir.address, nil))
-	address := w.second()
+	address := w.second(t.TempDir())
 	health := func() int { return status(t, http.MethodGet, address, "/admin/health") }
 	if got := health(); got != http.StatusServiceUnavailable {
 		t.Errorf("without endpoints: %d", got)
@@ -135,3 +139,156 @@
 		t.Errorf("a port that there is not: %v", err)
 	}
 }
+
+// What operators leave out gets nothing from the yes on, whatever discovery says
+// of it, and is used again after the call back.
+func TestCordonOverCalls(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	dir := t.TempDir()
+	address := w.second(dir)
+	read := func() int { return w.send(w.request("read", "", time.Minute)).code }
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{
+		{"POST", "/admin/cordon", 400}, {"POST", "/admin/cordon?name=", 400}, {"POST", "/admin/cordon?name=s-1&name=s-2", 400},
+		{"POST", "/admin/cordon?name=%zz", 400}, {"POST", "/admin/cordon?name=s-2", 404}, {"GET", "/admin/cordon?name=s-1", 405},
+		{"POST", "/admin/uncordon?name=s-2", 404}, {"POST", "/admin/uncordon?name=s-1", 200},
+	} {
+		if got := status(t, c.method, address, c.path); got != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
+		}
+	}
+	if got := read(); got != 200 {
+		t.Fatalf("before any call: %d", got)
+	}
+	for range 2 { // the second changes nothing
+		if got := status(t, "POST", address, "/admin/cordon?name=s-1"); got != 200 {
+			t.Fatalf("the call out: %d", got)
+		}
+	}
+	if got := read(); got != 503 {
+		t.Errorf("with the only endpoint out: %d", got)
+	}
+	again := ready("s-1", e.address)
+	again.BornMS = time.Now().UnixMilli()
+	w.dir.change(func() { w.dir.list = registry{Seq: 1, Whole: true, Hosts: []host{again}} })
+	w.until("the news", func() bool {
+		var born int64
+		w.do(func() { born = w.loop.fleet[w.loop.ids["s-1"]].last.BornMS })
+		return born == again.BornMS
+	})
+	if got := read(); got != 503 {
+		t.Errorf("after discovery told of its restart: %d", got)
+	}
+	// Neither a list without it nor one that has it again is a call back.
+	for seq, hosts := range map[uint64][]host{2: {}, 3: {again}} {
+		w.dir.change(func() { w.dir.list = registry{Seq: seq, Whole: true, Hosts: hosts} })
+	}
+	if got := status(t, "POST", address, "/admin/cordon?name=s-1"); got != 200 {
+		t.Errorf("a call for one that is out and may be gone: %d", got)
+	}
+	w.dir.change(func() { w.dir.list = registry{Seq: 4, Whole: true, Hosts: []host{again}} })
+	w.until("the endpoint to be listed", func() bool {
+		var listed bool
+		w.do(func() { listed = w.loop.ids["s-1"] != 0 })
+		return listed
+	})
+	if got := read(); got != 503 {
+		t.Errorf("after it was gone and came back: %d", got)
+	}
+	if n, _ := e.seen(); n != 1 {
+		t.Errorf("the endpoint that is out got %d requests, want the first alone", n)
+	}
+	if got := status(t, "POST", address, "/admin/uncordon?name=s-1"); got != 200 {
+		t.Errorf("the call back: %d", got)
+	}
+	w.until("a request to be served", func() bool { return read() == 200 })
+}
+
+// What one process is told holds in the other, and in one that starts later.
+func TestStateIsSharedAndOutlivesAProcess(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	dir := t.TempDir()
+	first, second := start(t, nil, ready("s-1", e.address)), start(t, nil, ready("s-1", e.address))
+	one, two := first.second(dir), second.second(dir)
+	out := func(w *world) (out bool) {
+		w.do(func() { out = w.loop.marks["s-1"].Out })
+		return out
+	}
+	if got := status(t, "POST", one, "/admin/cordon?name=s-1"); got != 200 {
+		t.Fatal(got)
+	}
+	if !out(first) {
+		t.Error("it does not hold where the call was answered")
+	}
+	first.until("the other process to follow", func() bool { return out(second) })
+	third := &world{t: t, dir: first.dir}
+	third.launch(configure(t, first.dir.address, nil, ready("s-1", e.address)))
+	third.second(dir)
+	first.until("the third process to follow", func() bool { return out(third) })
+	if got := status(t, "POST", two, "/admin/uncordon?name=s-1"); got != 200 {
+		t.Fatal(got)
+	}
+	first.until("the call back to hold everywhere", func() bool { return !out(first) && !out(second) && !out(third) })
+}
+
+// The state of before the start holds before the first request.
+func TestStateIsLoadedBeforeTheStart(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	dir := t.TempDir()
+	w := start(t, nil, ready("s-1", e.address))
+	if got := status(t, "POST", w.second(dir), "/admin/cordon?name=s-1"); got != 200 {
+		t.Fatal(got)
+	}
+	l, err := newLoop(t.Context(), configure(t, w.dir.address, nil, ready("s-1", e.address)), w.loop.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAdmin(newServer(l))
+	a.store.dir = dir
+	a.load()
+	if !l.marks["s-1"].Out {
+		t.Error("the stored state does not hold")
+	}
+}
+
+// A file that makes no sense is ignored, and the next call makes a good one. One
+// that can't be written makes the call a no, and nothing of it holds.
+func TestDamagedAndUnwritableState(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	dir := t.TempDir()
+	path := filepath.Join(dir, stateFile)
+	address := w.second(dir)
+	good := `{"version":1,"sidecar":"n0","hosts":[{"host":"s-1","out":true}]}`
+	out := func() (out bool) {
+		w.do(func() { out = w.loop.marks["s-1"].Out })
+		return out
+	}
+	for name, text := range map[string]string{
+		"cut short": good[:30], "empty": "", "noise": "\x00\xff", "another version": strings.Replace(good, "1", "2", 1),
+		"another sidecar": strings.Replace(good, "n0", "n1", 1), "no name": strings.Replace(good, "s-1", "", 1),
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got := status(t, "POST", address, "/admin/uncordon?name=s-1"); got != 200 || out() {
+			t.Errorf("%s: answer %d, out %v", name, got, out())
+		}
+	}
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.until("a good file to hold", out)
+	if err := os.WriteFile(path, []byte(good[:30]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	if got := status(t, "POST", address, "/admin/uncordon?name=s-1"); got != 500 || !out() {
+		t.Errorf("without its folder: answer %d, out %v", got, out())
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -12,6 +12,7 @@
 
 const (
 	eventsMost = 1024 // waiting for the loop
+	urgentMost = 16   // the same of those that go first
 	pruneEvery = time.Second
 	statsEvery = 2 * time.Second
 )
@@ -37,6 +38,7 @@
 	Outcome(now balancer.Micros, o balancer.Outcome)
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
+	Cordon(now balancer.Micros, name uint64, out bool, since balancer.Micros)
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
 	Stats(now balancer.Micros) balancer.Stats
 }
@@ -51,8 +53,9 @@
 	up     *upstream
 	disc   *discovery
 	events chan func(now balancer.Micros)
-	ctx    context.Context // ends with the loop
-	listed atomic.Bool     // endpoints are known
+	urgent chan func(now balancer.Micros) // goes ahead of events
+	ctx    context.Context                // ends with the loop
+	listed atomic.Bool                    // endpoints are known
 
 	// Below: the loop's goroutine alone.
 	balancer  decider
@@ -61,7 +64,8 @@
 	ids       map[string]uint32 // of endpoints, by host name
 	lastEP    uint32            // the latest id given; none is given twice
 	fleet     map[uint32]*member
-	seq       *uint64 // version of the last list, if there was any
+	marks     map[string]mark // what operators set, by host name
+	seq       *uint64         // version of the last list, if there was any
 	stopWatch context.CancelFunc
 	stats     balancer.Stats // when last recorded, as are dials
 	dials     upCounts
@@ -72,7 +76,8 @@
 // out there any more. Endpoints come and go all day under ever new names.
 type member struct {
 	name   string
-	target *target // nil unless ready
+	last   host    // discovery's latest word of it
+	target *target // nil unless ready and not left out
 	out    int     // attempts and probes without outcome
 	gone   bool
 }
@@ -102,7 +107,8 @@
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg)), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
-		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{},
+		urgent:   make(chan func(balancer.Micros), urgentMost),
+		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{}, marks: map[string]mark{},
 		stopWatch: func() {},
 	}
 	var err error
@@ -126,6 +132,14 @@
 	defer stats.Stop()
 	for {
 		select {
+		case event := <-l.urgent:
+			event(l.clock.now())
+			continue
+		default:
+		}
+		select {
+		case event := <-l.urgent:
+			event(l.clock.now())
 		case event := <-l.events:
 			event(l.clock.now())
 		case <-prune.C:
@@ -162,6 +176,21 @@
 	}
 }
 
+// urge has the loop do something ahead of all events that wait, and waits until
+// it is done, or the loop has ended.
+func (l *loop) urge(event func(now balancer.Micros)) {
+	done := make(chan struct{})
+	select {
+	case l.urgent <- func(now balancer.Micros) { event(now); close(done) }:
+	case <-l.ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-l.ctx.Done():
+	}
+}
+
 // take passes a new request to the balancer.
 func (l *loop) take(now balancer.Micros, r *request, in balancer.Request) {
 	l.lastID++
@@ -232,12 +261,12 @@
 			e.StartTime = h.BornMS * 1000
 		}
 		entries = append(entries, e)
-		l.aim(id, h, e.State)
+		l.aim(id, h)
 	}
 	ready := false
 	for id, e := range l.fleet {
 		if kind != balancer.ListDelta && !named[id] {
-			l.aim(id, host{}, balancer.Gone)
+			l.aim(id, host{Health: "Gone"})
 		}
 		ready = ready || e.target != nil
 	}
@@ -247,9 +276,12 @@
 
 // aim points an endpoint's id at where it is reached now. A target that drains,
 // is gone or has restarted is closed, so that a send on its way does not start.
-func (l *loop) aim(id uint32, h host, state balancer.State) {
-	e := l.fleet[id]
-	e.gone = state == balancer.Gone
+func (l *loop) aim(id uint32, h host) {
+	e, state := l.fleet[id], states[h.Health]
+	e.last, e.gone = h, state == balancer.Gone
+	if l.marks[e.name].Out {
+		state = balancer.Draining // as good as that
+	}
 	if t := e.target; t != nil && (state != balancer.Ready || t.address != h.Dial || t.born != h.BornMS) {
 		l.up.retire(t)
 		e.target = nil
@@ -260,6 +292,35 @@
 	l.forgetMember(id)
 }
 
+// knows says whether operators may speak of an endpoint of this name.
+func (l *loop) knows(name string) bool { return l.ids[name] != 0 || l.marks[name].Out }
+
+// mark makes what operators set hold: what they leave out has no target, so that
+// a send on its way does not start.
+func (l *loop) mark(now balancer.Micros, marks []mark) {
+	next := make(map[string]mark, len(marks))
+	for _, m := range marks {
+		next[m.Name] = m
+	}
+	for name, m := range l.marks {
+		if _, ok := next[name]; !ok && m.Out {
+			next[name] = mark{Name: name, SinceMS: now / 1000}
+		}
+	}
+	old := l.marks
+	l.marks = next
+	for name, m := range next {
+		if was, ok := old[name]; ok && was == m {
+			continue
+		}
+		if id := l.ids[name]; id != 0 {
+			l.aim(id, l.fleet[id].last)
+		}
+		l.log.Info("by hand", "host", name, "out", m.Out)
+		l.balancer.Cordon(now, hashed(name), m.Out, m.SinceMS*1000)
+	}
+}
+
 func (l *loop) forgetMember(id uint32) {
 	if e := l.fleet[id]; e.gone && e.out == 0 {
 		delete(l.ids, e.name)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -81,7 +81,9 @@
 	}()
 	s := newServer(l)
 	if second != nil {
-		go newAdmin(s).serve(second)
+		a := newAdmin(s)
+		a.load()
+		go a.serve(second)
 	}
 	return s.serve(ctx, listener)
 }
@@ -144,6 +146,11 @@
 	return nil
 }
 
+// hold makes what operators have set hold.
+func (s *server) hold(st state) {
+	s.loop.urge(func(now balancer.Micros) { s.loop.mark(now, st.Hosts) })
+}
+
 // isReady says whether clients may send requests here.
 func (s *server) isReady() bool { return !s.ending.Load() && s.loop.listed.Load() }
 
--- /dev/null
+++ b/internal/sidecar/store.go
@@ -0,0 +1,190 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	stateVersion = 1
+	stateFile    = "oakproxy-state.json"
+	stateLock    = "oakproxy-state.lock"
+	stateMost    = 1 << 20                // bytes of a state file
+	statePoll    = 50 * time.Millisecond  // between two looks for what the other process stored
+	lockPatience = 500 * time.Millisecond // for the other process to let go of the lock: an answer is owed in 1 s
+	lockPause    = 5 * time.Millisecond
+)
+
+// state is what operators have set by hand. It outlives a process.
+type state struct {
+	Version int    `json:"version"`
+	Sidecar string `json:"sidecar"`
+	Drained bool   `json:"drained"`
+	Hosts   []mark `json:"hosts"`
+}
+
+// mark tells that an endpoint was left out, or put back, and since when.
+type mark struct {
+	Name    string `json:"host"`
+	Out     bool   `json:"out"`
+	SinceMS int64  `json:"since_ms"` // Unix time
+}
+
+// store keeps the state in a file that the processes of one sidecar share while
+// one replaces the other, and sees to it that what either is told holds in both.
+type store struct {
+	dir, sidecar string
+	log          *slog.Logger
+	keep         time.Duration // how long it matters that an endpoint was put back
+	hold         func(state)   // makes a state hold in this process, before it returns
+
+	mu   sync.Mutex
+	last state       // what holds
+	file os.FileInfo // of the file that it was read from, if there was one
+}
+
+func (s *store) path() string { return filepath.Join(s.dir, stateFile) }
+
+// update changes the state. When it returns nil, the new one is stored and holds here.
+func (s *store) update(change func(*state)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unlock, err := s.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	next := s.read()
+	next.Hosts = slices.Clone(next.Hosts)
+	change(&next)
+	old := time.Now().Add(-s.keep).UnixMilli()
+	next.Hosts = slices.DeleteFunc(next.Hosts, func(m mark) bool { return !m.Out && m.SinceMS < old })
+	if err := s.write(next); err != nil {
+		return err
+	}
+	s.take(next)
+	return nil
+}
+
+// refresh takes up what the other process has stored.
+func (s *store) refresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	info, err := os.Stat(s.path())
+	if err != nil || s.file != nil && os.SameFile(info, s.file) && info.ModTime().Equal(s.file.ModTime()) {
+		return
+	}
+	s.take(s.read())
+}
+
+func (s *store) take(next state) {
+	s.last = next
+	s.hold(next)
+}
+
+// read returns the stored state, or the one that holds where there is no file that
+// makes sense: then it says so.
+func (s *store) read() state {
+	next, info, err := s.load()
+	s.file = info
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			s.log.Warn("state file ignored", "error", err)
+		}
+		return s.last
+	}
+	return next
+}
+
+func (s *store) load() (state, os.FileInfo, error) {
+	var st state
+	file, err := os.Open(s.path())
+	if err != nil {
+		return st, nil, err
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return st, nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(file, stateMost))
+	if err != nil {
+		return st, info, err
+	}
+	if err := json.Unmarshal(text, &st); err != nil {
+		return st, info, err
+	}
+	switch {
+	case st.Version != stateVersion:
+		err = fmt.Errorf("version %d, not %d", st.Version, stateVersion)
+	case st.Sidecar != s.sidecar:
+		err = fmt.Errorf("of sidecar %q, not %q", st.Sidecar, s.sidecar)
+	case slices.ContainsFunc(st.Hosts, func(m mark) bool { return m.Name == "" }):
+		err = errors.New("an endpoint without a name")
+	}
+	return st, info, err
+}
+
+func (s *store) write(st state) error {
+	st.Version, st.Sidecar = stateVersion, s.sidecar
+	text, err := json.Marshal(st)
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	file, err := os.CreateTemp(s.dir, stateFile+".*")
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	_, err = file.Write(text)
+	if err = errors.Join(err, file.Close()); err == nil {
+		err = os.Rename(file.Name(), s.path())
+	}
+	if err != nil {
+		os.Remove(file.Name())
+		return fmt.Errorf("state: %w", err)
+	}
+	s.file, _ = os.Stat(s.path()) // unknown, it is read once more
+	return nil
+}
+
+// lock keeps the other process from writing until the function that it returns is
+// called. What is locked is a file of its own, since the state's is replaced.
+func (s *store) lock() (unlock func(), err error) {
+	file, err := os.OpenFile(filepath.Join(s.dir, stateLock), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	for end := time.Now().Add(lockPatience); ; time.Sleep(lockPause) {
+		err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return func() { file.Close() }, nil
+		}
+		if err != syscall.EWOULDBLOCK && err != syscall.EINTR || time.Now().After(end) {
+			file.Close()
+			return nil, fmt.Errorf("state: lock: %w", err)
+		}
+	}
+}
+
+// set marks an endpoint as left out or put back. A call repeated changes nothing.
+func (st *state) set(name string, out bool, now time.Time) {
+	next := mark{Name: strings.Clone(name), Out: out, SinceMS: now.UnixMilli()}
+	i := slices.IndexFunc(st.Hosts, func(m mark) bool { return m.Name == name })
+	switch {
+	case i < 0 && out:
+		st.Hosts = append(st.Hosts, next)
+	case i >= 0 && st.Hosts[i].Out != out:
+		st.Hosts[i] = next
+	}
+}
