Drain by hand and end it, and take the request that crosses its connection's end

Seen: quiesce was no call, and clients were sent to a drained sidecar 4 s later. At SIGTERM net/http closed idle connections by its own books, without a look at the socket.

Design: a flag, stored beside what is left out, so that it holds in both processes. To end one, its waiting read is woken; that looks at the socket once more and goes on if anything has come. A connection now counts as waiting from the last byte of its answer on, not from the handler's end.

Not taken: SetKeepAlivesEnabled(false) and Shutdown. They close at once what they hold to be idle, also with a request in the socket's buffer; nor could a drain be ended with Shutdown.

Tests: the drain and its end over calls; the crossing request, half a request, and net/http's own waking of a read.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -53,6 +53,8 @@
 		"/admin/health":   {http.MethodGet, a.health},
 		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
 		"/admin/uncordon": {http.MethodPost, func(in *http.Request) error { return a.cordon(in, false) }},
+		"/admin/quiesce":  {http.MethodPost, func(*http.Request) error { return a.drain(true) }},
+		"/admin/resume":   {http.MethodPost, func(*http.Request) error { return a.drain(false) }},
 	}
 	a.http = http.Server{Handler: http.HandlerFunc(a.handle), ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
 		MaxHeaderBytes: adminHead, ErrorLog: slog.NewLogLogger(s.loop.log.Handler(), slog.LevelDebug),
@@ -68,6 +70,7 @@
 func (a *admin) load() {
 	st := a.store.read()
 	a.store.last = st
+	a.server.drained.Store(st.Drained)
 	a.server.loop.mark(a.server.loop.clock.now(), st.Hosts)
 }
 
@@ -148,6 +151,11 @@
 	return a.store.update(func(st *state) { st.set(name, out, time.Now()) })
 }
 
+// drain has clients leave this sidecar, or lets them come again.
+func (a *admin) drain(on bool) error {
+	return a.store.update(func(st *state) { st.Drained = on })
+}
+
 // listenAdmin opens the second address.
 func listenAdmin(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -292,3 +293,75 @@
 		t.Errorf("without its folder: answer %d, out %v", got, out())
 	}
 }
+
+// A drain by hand sends clients away without losing a request, and its end undoes
+// all of it. Calls repeated change nothing.
+func TestDrainByHand(t *testing.T) {
+	answer := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for r := e.next(in); r != nil; r = e.next(in) {
+			if strings.HasPrefix(r.RequestURI, "/pay") {
+				<-answer
+			}
+			io.WriteString(conn, served)
+		}
+	})
+	w := start(t, nil, ready("s-1", e.address))
+	address := w.second(t.TempDir())
+	front := func() int { return status(t, "GET", strings.TrimPrefix(w.url, "http://"), "/health/ready") }
+	ask := func(conn net.Conn, in *bufio.Reader) *http.Response {
+		t.Helper()
+		w.request("read", "", time.Minute).Write(conn)
+		response, err := http.ReadResponse(in, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("a request: %v, %v", response, err)
+		}
+		io.Copy(io.Discard, response.Body)
+		return response
+	}
+	used, silent := w.dial(), w.dial()
+	in := bufio.NewReader(used)
+	if ask(used, in).Close {
+		t.Error("before the drain an answer ends its connection")
+	}
+	held := make(chan reply)
+	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
+	w.until("the request in hand", func() bool { n, _ := e.seen(); return n == 2 })
+	for range 2 {
+		if got := status(t, "POST", address, "/admin/quiesce"); got != 200 {
+			t.Fatalf("quiesce: %d", got)
+		}
+		if got := front(); got != 503 {
+			t.Errorf("readiness in the drain: %d", got)
+		}
+	}
+	// New connections still come, with one request each.
+	late := w.dial()
+	if !ask(late, bufio.NewReader(late)).Close {
+		t.Error("an answer in the drain keeps its connection")
+	}
+	for name, c := range map[string]io.Reader{"used": in, "silent": silent} {
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the %s connection: %v, want its end", name, err)
+		}
+	}
+	close(answer)
+	if got := <-held; got.code != 200 || got.body != "done" {
+		t.Errorf("the request in hand: %+v", got)
+	}
+	for range 2 {
+		if got := status(t, "POST", address, "/admin/resume"); got != 200 {
+			t.Fatalf("resume: %d", got)
+		}
+		if got := front(); got != 200 {
+			t.Errorf("readiness after the drain: %d", got)
+		}
+	}
+	again := w.dial()
+	in = bufio.NewReader(again)
+	for range 2 {
+		if ask(again, in).Close {
+			t.Error("after the drain an answer ends its connection")
+		}
+	}
+}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"container/list"
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"time"
 )
 
 // clients is the listener of the application's side. It bounds the connections
@@ -54,6 +57,7 @@
 		old.leave()
 	}
 	l.open++
+	c.since = time.Now()
 	c.place = l.waiting.PushBack(c)
 	return old, true
 }
@@ -74,16 +78,70 @@
 	return l.open
 }
 
+// sweep has connections end that have had no request open for so long: those that
+// requests came on for quiet, others for silent. A request that crosses is taken.
+func (l *clients) sweep(quiet, silent time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*clientConn)
+		least := silent
+		if c.asked {
+			least = quiet
+		}
+		if time.Since(c.since) >= least {
+			c.expire()
+		}
+	}
+}
+
 // clientConn is one connection of a client. It carries one request at a time.
 type clientConn struct {
 	net.Conn
 	owner *clients
 	place *list.Element // in owner.waiting; nil while a request is open
+	since time.Time     // it waits
 	asked bool          // a request has come on it
 	left  bool          // no longer counted
 
-	mu   sync.Mutex // net/http reads on while a handler runs
-	head headScan
+	mu      sync.Mutex // net/http reads on while a handler runs
+	head    headScan
+	readBy  time.Time // the deadline that net/http has set
+	expired bool      // it is to end unless something has come
+}
+
+// expire ends a connection on which nothing has come since its last request. It
+// wakes the read that waits there, and Read has the last word.
+func (c *clientConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.size == 0 {
+		c.expired = true
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// spared says that a connection which was to end has got something to read after
+// all: closed now, it would take a request along.
+func (c *clientConn) spared() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expired {
+		return false // the deadline was net/http's own
+	}
+	c.expired = false
+	if c.head.size == 0 && !readable(c.Conn) || !c.readBy.IsZero() && !time.Now().Before(c.readBy) {
+		return false
+	}
+	c.Conn.SetReadDeadline(c.readBy)
+	return true
+}
+
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readBy = t
+	return c.Conn.SetReadDeadline(t)
 }
 
 // leave ends the counting of a connection. It holds owner.mu.
@@ -110,11 +168,16 @@
 }
 
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	c.head.scan(p[:n])
-	c.mu.Unlock()
-	return n, err
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.spared() {
+			continue
+		}
+		c.mu.Lock()
+		c.head.scan(p[:n])
+		c.mu.Unlock()
+		return n, err
+	}
 }
 
 // begin marks that a request is open; false says that its connection has just
@@ -140,11 +203,12 @@
 	return alone, true
 }
 
-// done marks that the request has its answer.
+// done marks that the request has its whole answer.
 func (c *clientConn) done() {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if !c.left && c.place == nil {
+		c.since = time.Now()
 		c.place = c.owner.waiting.PushBack(c)
 	}
 }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -371,3 +373,61 @@
 	}
 	w.until("the bodies to be given back", func() bool { return w.server.bodies.Load() == 0 })
 }
+
+// A request that crosses the end of its idle connection is read; the connection
+// ends where nothing has come.
+func TestRequestThatCrossesTheEndIsTaken(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &clients{Listener: listener, most: 4}
+	defer l.Close()
+	pair := func() (net.Conn, *clientConn) {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client, c.(*clientConn)
+	}
+	read := func(c *clientConn) (string, error) {
+		p := make([]byte, 100)
+		n, err := c.Read(p)
+		return string(p[:n]), err
+	}
+	client, c := pair()
+	io.WriteString(client, "GET")
+	await(t, "the bytes", func() bool { return readable(c.Conn) })
+	l.sweep(0, 0)
+	if got, err := read(c); got != "GET" || err != nil {
+		t.Errorf("read %q, %v", got, err)
+	}
+	l.sweep(0, 0) // half a request has come
+	io.WriteString(client, " /")
+	if got, err := read(c); got != " /" || err != nil {
+		t.Errorf("the rest: read %q, %v", got, err)
+	}
+	_, c = pair()
+	l.sweep(0, time.Hour)
+	if c.expired {
+		t.Error("a new connection ends before its time")
+	}
+	l.sweep(time.Hour, 0)
+	if got, err := read(c); got != "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("with nothing there: read %q, %v", got, err)
+	}
+	// net/http wakes its own read in the same way, and must have it back.
+	client, c = pair()
+	io.WriteString(client, "GET")
+	await(t, "the bytes", func() bool { return readable(c.Conn) })
+	l.sweep(0, 0)
+	c.SetReadDeadline(time.Unix(1, 0))
+	if got, err := read(c); got != "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("woken by net/http: read %q, %v", got, err)
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -21,6 +21,9 @@
 const (
 	answerMargin = 2 * time.Millisecond   // of a client's time, kept for writing the final answer: some have 40 ms in all
 	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
+	sweepEvery   = 20 * time.Millisecond  // while clients are to leave
+	quietLeast   = 200 * time.Millisecond // without a request, after which a client that is to leave is made to:
+	silentLeast  = time.Second            // the application's clients use most connections sooner, new ones at once
 	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
 	busyRetry    = time.Second            // wait told to clients that find all room for bodies in use
 	timeLeftMost = time.Minute            // that a request gets
@@ -44,6 +47,7 @@
 	tenants map[string]uint16
 	bodies  atomic.Int64 // bytes of bodies of requests in hand
 	ending  atomic.Bool
+	drained atomic.Bool // by hand
 
 	mu  sync.Mutex
 	ids map[string]bool // X-Correlation-Id of the requests in hand
@@ -95,6 +99,7 @@
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	s.clients.Listener = listener
 	go s.loop.run()
+	go s.usher()
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(s.clients) }()
 	select {
@@ -120,41 +125,71 @@
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
 		ReadTimeout: readTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
+		MaxHeaderBytes: headMost, ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				c.(*clientConn).done()
+			}
+		}, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		}}
 	return s
 }
 
-// drain ends the service without losing a request. Idle connections are closed
-// at once, while a client whose request crosses that can still connect anew;
-// every answer from here on closes its connection.
+// leaving says that clients are to go elsewhere: every answer ends its connection.
+func (s *server) leaving() bool { return s.ending.Load() || s.drained.Load() }
+
+// usher makes connections end on which no request comes, while clients are to leave.
+func (s *server) usher() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if s.leaving() {
+				s.clients.sweep(quietLeast, silentLeast)
+			}
+		case <-s.loop.ctx.Done():
+			return
+		}
+	}
+}
+
+// drain ends the service without losing a request. Every answer from here on
+// closes its connection, and so does silence; new ones come for a while.
 func (s *server) drain() error {
 	s.ending.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
 	time.Sleep(s.acceptFor)
+	if err := s.clients.Listener.Close(); err != nil {
+		return fmt.Errorf("stop accepting: %w", err)
+	}
 	var longest balancer.Micros
 	for _, c := range s.loop.cfg.Settings.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(longest)*time.Microsecond)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutdown: %w", err)
+	end := time.Now().Add(time.Duration(longest) * time.Microsecond)
+	for s.clients.count() > 0 && time.Now().Before(end) {
+		time.Sleep(sweepEvery)
 	}
+	s.http.Close()
 	return nil
 }
 
 // hold makes what operators have set hold.
 func (s *server) hold(st state) {
+	if s.drained.Swap(st.Drained) != st.Drained {
+		s.loop.log.Info("by hand", "drained", st.Drained)
+	}
 	s.loop.urge(func(now balancer.Micros) { s.loop.mark(now, st.Hosts) })
 }
 
 // isReady says whether clients may send requests here.
-func (s *server) isReady() bool { return !s.ending.Load() && s.loop.listed.Load() }
+func (s *server) isReady() bool { return !s.leaving() && s.loop.listed.Load() }
 
 func (s *server) ready(w http.ResponseWriter) {
+	if s.leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	if !s.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -239,7 +274,6 @@
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
-	defer c.done()
 	// The deadline for reading the request would otherwise end its context
 	// while the answer is still awaited.
 	c.SetReadDeadline(time.Time{})
@@ -297,7 +331,7 @@
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	select {
 	case a := <-r.answer:
-		if s.clients.crowded() {
+		if s.clients.crowded() || s.leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -320,19 +320,22 @@
 // alive says whether an idle connection is open and silent. An endpoint may
 // close it at any time, and a request written after that is lost as a reset
 // that may have run.
-func (c *conn) alive() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+func (c *conn) alive() bool { return !readable(c.Conn) }
+
+// readable says whether anything can be read of a connection: bytes, its end, or
+// an error.
+func readable(c net.Conn) bool {
+	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 	silent := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		silent = err == syscall.EAGAIN
-		return true
 	})
-	return err == nil && silent
+	return err != nil || !silent
 }
 
 // exchange writes one request on a connection and reads the whole answer. It
