Pass large answers on while they come, with limits on progress and not on the whole

An answer had to end within 100 ms of its first byte, however many pieces it came in.

Design: up to 64 KiB are held until they are whole, so that a broken answer can still be replaced. Beyond that, or where the one budget for bodies has no room, or 20 ms after an answer of unknown length began, what came goes to the client at once and the rest follows piece by piece; the outcome is told then, and the connection is given back at the answer's end. 100 ms, and 5 s once passed on, are limits without a byte. An end by closing counts where the answer announces it. A rest that breaks ends the client's connection, by a reset so that an HTTP/1.0 client sees it too.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -144,6 +144,22 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// boundBuffer bounds what the system takes of an answer before the client does, so
+// that a write tells in time whether the client still reads.
+func (c *clientConn) boundBuffer(size int) {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.SetWriteBuffer(size)
+	}
+}
+
+// cut has the connection end in a reset, so that what it carried is not taken for
+// whole where only its end would tell.
+func (c *clientConn) cut() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+}
+
 // leave ends the counting of a connection. It holds owner.mu.
 func (c *clientConn) leave() {
 	if c.left {
@@ -228,6 +244,7 @@
 	started bool   // a line with something on it has come
 	lengths int    // Content-Length was there so often
 	coding  bool   // Transfer-Encoding was there
+	closing bool   // Connection: close was there
 	size    int64  // of all that came
 	end     int64  // size at the end of the head; 0 before
 }
@@ -235,15 +252,18 @@
 var (
 	lengthName = []byte("content-length:")
 	codingName = []byte("transfer-encoding:")
+	endName    = []byte("connection:")
 )
 
+// lineKept is as much of a line as is looked at.
+const lineKept = 64
+
 func (h *headScan) scan(p []byte) {
 	start := h.size
 	h.size += int64(len(p))
 	for rest := p; h.end == 0 && len(rest) > 0; {
 		line, after, ended := bytes.Cut(rest, []byte("\n"))
-		// A name's length is enough of a line.
-		if room := len(codingName) - len(h.line); room > 0 {
+		if room := lineKept - len(h.line); room > 0 {
 			h.line = append(h.line, line[:min(room, len(line))]...)
 		}
 		if rest = after; !ended {
@@ -254,6 +274,9 @@
 			h.lengths++
 		}
 		h.coding = h.coding || bytes.HasPrefix(lower, codingName)
+		if value, ok := bytes.CutPrefix(lower, endName); ok {
+			h.closing = h.closing || bytes.Contains(value, []byte("close"))
+		}
 		// net/http skips empty lines ahead of a request.
 		if len(lower) > 0 {
 			h.started = true
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -100,12 +100,15 @@
 	retryAfter balancer.Micros
 	header     http.Header
 	body       []byte
+	rest       *rest  // what follows body, while it comes
+	length     int64  // of the whole, where there is a rest; -1 if unknown
+	held       func() // gives back the room for body
 }
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
 	l := &loop{
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
-		up: newUpstream(cfg, connections(cfg)), disc: newDiscovery(cfg.Discovery),
+		up: newUpstream(cfg, connections(cfg), newBudget(cfg)), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
 		urgent:   make(chan func(balancer.Micros), urgentMost),
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{}, marks: map[string]mark{},
@@ -202,11 +205,14 @@
 
 // gone tells that the client went away.
 func (l *loop) gone(now balancer.Micros, r *request) {
-	if !r.over {
-		r.over = true
-		l.balancer.ClientGone(now, r.id)
-		l.forget(r)
+	if r.over {
+		unread := <-r.answer
+		unread.close()
+		return
 	}
+	r.over = true
+	l.balancer.ClientGone(now, r.id)
+	l.forget(r)
 }
 
 // outcome tells how an attempt ended: exactly once for each, also after the
@@ -214,7 +220,8 @@
 func (l *loop) outcome(now balancer.Micros, r *request, o balancer.Outcome, res result) {
 	r.out--
 	if res.status == balancer.OK {
-		l.finish(r, answer{code: http.StatusOK, header: res.header, body: res.body})
+		l.finish(r, answer{code: http.StatusOK, header: res.header, body: res.body,
+			rest: res.rest, length: res.length, held: res.held})
 	}
 	o.Settled = r.over
 	l.balancer.Outcome(now, o)
@@ -226,7 +233,9 @@
 	if r != nil && !r.over {
 		r.over = true
 		r.answer <- a // it has room for the one
+		return
 	}
+	a.close()
 }
 
 func (l *loop) forget(r *request) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -45,7 +45,6 @@
 	clients *clients
 	classes map[string]uint8
 	tenants map[string]uint16
-	bodies  atomic.Int64 // bytes of bodies of requests in hand
 	ending  atomic.Bool
 	drained atomic.Bool // by hand
 
@@ -230,7 +229,7 @@
 	if http.NewResponseController(w).Flush() != nil {
 		return // the client is gone
 	}
-	io.Copy(io.Discard, http.MaxBytesReader(w, in.Body, bodyMost)) // as much as comes is enough
+	io.Copy(io.Discard, http.MaxBytesReader(w, in.Body, holdMost)) // as much as comes is enough
 }
 
 // handle reads a request whole and answers it.
@@ -251,20 +250,19 @@
 			return
 		}
 	}
-	held := int64(bodyMost)
+	held := int64(holdMost)
 	if in.ContentLength >= 0 {
 		held = in.ContentLength
 	}
-	if held > bodyMost {
+	if held > holdMost {
 		reject(w, in, &badRequest{http.StatusRequestEntityTooLarge, tooLarge})
 		return
 	}
-	if s.bodies.Add(held) > int64(s.loop.cfg.Limits.MemoryMB)<<20/bodiesPart {
-		s.bodies.Add(-held)
+	if !s.loop.up.room.take(held) {
 		turnAway(w, in, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
-	defer s.bodies.Add(-held)
+	defer s.loop.up.room.give(held)
 	body, err := readBody(w, in)
 	if err != nil {
 		reject(w, in, err)
@@ -289,7 +287,7 @@
 	s.request(w, in, c, req, body)
 }
 
-var tooLarge = fmt.Sprintf("the body is over %d bytes", bodyMost)
+var tooLarge = fmt.Sprintf("the body is over %d bytes", holdMost)
 
 // readBody reads a request's body, within its limit.
 func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
@@ -300,7 +298,7 @@
 		}
 		return body, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, bodyMost))
+	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, holdMost))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, &badRequest{http.StatusRequestEntityTooLarge, tooLarge}
@@ -331,11 +329,19 @@
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	select {
 	case a := <-r.answer:
+		defer a.close()
 		if s.clients.crowded() || s.leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		writeAnswer(w, a)
+		if a.rest == nil {
+			return
+		}
+		if err := pass(w, c, a.rest); err != nil {
+			c.cut()
+			panic(http.ErrAbortHandler)
+		}
 	case <-in.Context().Done():
 		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
 		// A client that has only stopped sending must not read a whole answer
@@ -349,7 +355,12 @@
 	if a.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(a.retryAfter)/1e6, 'f', 3, 64))
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if a.rest == nil {
+		a.length = int64(len(a.body))
+	}
+	if a.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
 	w.WriteHeader(a.code)
 	w.Write(a.body) // a client that is gone by now needs no answer
 }
--- /dev/null
+++ b/internal/sidecar/stream_test.go
@@ -0,0 +1,167 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+const large = 3 << 20 // bytes: more than is held, and than sockets take
+
+// inChunks writes a body in chunks of this size, without their end.
+func inChunks(body string, size int) string {
+	var b strings.Builder
+	for ; len(body) > 0; body = body[min(size, len(body)):] {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", min(size, len(body)), body[:min(size, len(body))])
+	}
+	return b.String()
+}
+
+// A large answer reaches the client whole however its end is told, and the
+// connection serves on where its end was not the answer's.
+func TestLargeAnswersPass(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", large/16)
+	for name, c := range map[string]struct {
+		answer string
+		reused bool
+	}{
+		"by length":     {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), true},
+		"in chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(body, 10_000) + "0\r\nX-Sum: 1\r\n\r\n", true},
+		"until the end": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+				for e.next(in) != nil {
+					if io.WriteString(conn, c.answer); !c.reused {
+						return
+					}
+				}
+			})
+			w := start(t, nil, ready("s-1", e.address))
+			for range 2 {
+				if got := w.send(w.request("read", "", time.Minute)); got.code != 200 || got.body != body || got.err != nil {
+					t.Errorf("answer %d of %d bytes, %v", got.code, len(got.body), got.err)
+				}
+			}
+			if _, conns := e.seen(); (conns == 1) != c.reused {
+				t.Errorf("%d connections", conns)
+			}
+			w.until("the room to be given back", func() bool { return w.loop.up.room.used.Load() == 0 })
+		})
+	}
+}
+
+// What the endpoint gives of a large answer is passed on at once, not when the
+// answer ends, and the request's time no longer runs.
+func TestLargeAnswerIsPassedOnAtOnce(t *testing.T) {
+	const first = "the first bytes"
+	read, left := make(chan struct{}), 500*time.Millisecond
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		e.next(in)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, first)
+		<-read
+		time.Sleep(left)
+		io.WriteString(conn, strings.Repeat("x", large-len(first)))
+	})
+	w := start(t, nil, ready("s-1", e.address))
+	conn := w.dial()
+	w.request("read", "", left).Write(conn)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(first))
+	if _, err := io.ReadFull(response.Body, got); err != nil || string(got) != first {
+		t.Fatalf("%q, %v", got, err)
+	}
+	close(read)
+	if n, err := io.Copy(io.Discard, response.Body); err != nil || n != large-int64(len(first)) {
+		t.Errorf("the rest: %d bytes, %v", n, err)
+	}
+}
+
+// An answer that breaks after it was begun looks broken to the client, and is not
+// asked for again.
+func TestBrokenLargeAnswerLooksBroken(t *testing.T) {
+	part := strings.Repeat("x", 200<<10)
+	for name, c := range map[string]struct {
+		answer, version string
+		reset           bool
+	}{
+		"cut short of its length": {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, part), "1.1", false},
+		"cut between chunks":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(part, 1000), "1.1", false},
+		"a broken chunk":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(part, 1000) + "zz\r\n", "1.1", false},
+		"reset before its end":    {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + part, "1.1", true},
+		"for an old client":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(part, 1000), "1.0", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan struct{})
+			e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+				e.next(in)
+				io.WriteString(conn, c.answer)
+				if <-taken; c.reset {
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			w := start(t, nil, ready("s-1", e.address))
+			conn := w.dial()
+			fmt.Fprintf(conn, "GET /read HTTP/%s\r\nHost: a\r\nX-Service-Class: read\r\nX-Time-Left-Ms: 9000\r\nX-Correlation-Id: 1\r\n\r\n", c.version)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != 200 {
+				t.Fatalf("%v, %v", response, err)
+			}
+			io.ReadFull(response.Body, make([]byte, 1000))
+			close(taken)
+			if n, err := io.Copy(io.Discard, response.Body); err == nil {
+				t.Errorf("%d bytes read as whole", n)
+			}
+			if n, _ := e.seen(); n != 1 {
+				t.Errorf("%d requests reached the endpoint, want 1", n)
+			}
+		})
+	}
+}
+
+// An endpoint that writes in pieces is heard to the end, though that takes longer
+// than one may be silent.
+func TestAnswerInPiecesIsAwaited(t *testing.T) {
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			for _, b := range []byte(served) {
+				conn.Write([]byte{b})
+				time.Sleep(2 * answerRest / time.Duration(len(served)))
+			}
+		}
+	})
+	u := newTestUpstream(t, 4)
+	for range 2 {
+		if r := u.attempt(t.Context(), &target{address: e.address}, get("/")); r.status != balancer.OK || string(r.body) != "done" {
+			t.Errorf("status %v, body %q", r.status, r.body)
+		}
+	}
+}
+
+// Where there is no room to hold an answer, it is passed on as it comes.
+func TestAnswerWithoutRoomPasses(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	u := newTestUpstream(t, 4)
+	u.room.used.Store(u.room.most.Load())
+	r := u.attempt(t.Context(), &target{address: e.address}, get("/"))
+	if r.status != balancer.OK || len(r.body) != 0 || r.rest == nil {
+		t.Fatalf("status %v, %d bytes held", r.status, len(r.body))
+	}
+	if got, err := io.ReadAll(r.rest); err != nil || string(got) != "done" {
+		t.Errorf("%q, %v", got, err)
+	}
+	(&answer{rest: r.rest, held: r.held}).close()
+	if u.room.used.Load() != u.room.most.Load() || u.open != 1 || len(u.idle) != 1 {
+		t.Errorf("%d of %d held, %d connections open", u.room.used.Load(), u.room.most.Load(), u.open)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -22,10 +22,10 @@
 )
 
 const (
-	bodyMost     = 64 << 10               // bytes of a request's or an answer's body
+	bodyMost     = 64 << 20               // bytes of a request's or an answer's body
 	headMost     = 32 << 10               // bytes of a request's head
 	answerMost   = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
-	answerRest   = 100 * time.Millisecond // from an answer's first byte to its last: four round trips between sites
+	answerRest   = 100 * time.Millisecond // without a byte of an answer that has begun: four round trips between sites
 	interimMost  = 10                     // interim answers ahead of one that counts
 	figureMost   = 1e6                    // a larger figure in a load report is an error
 	probeTimeout = 400 * time.Millisecond
@@ -38,6 +38,7 @@
 	dialer   net.Dialer
 	idleMost time.Duration // idle connections are not used for longer
 	fields   []string      // of load reports
+	room     *budget       // for the bodies of answers
 
 	mu                  sync.Mutex
 	open                int // connections, those being dialled included
@@ -75,6 +76,8 @@
 	target *target
 	reader *bufio.Reader
 	limit  io.LimitedReader // of an answer
+	ctx    context.Context  // of the attempt
+	stall  time.Duration    // without a byte, until a read is given up; 0: no limit
 	idleAt time.Time
 	used   bool // it has carried a request before
 }
@@ -93,6 +96,9 @@
 	status balancer.Status
 	header http.Header // of a whole answer 200, as is body
 	body   []byte
+	rest   *rest  // what follows body, of an answer that is passed on while it comes
+	length int64  // of the whole, -1 if unknown
+	held   func() // gives back the room for body
 	load   []float32
 	took   time.Duration // from the write to the end, without the time to connect
 }
@@ -107,13 +113,13 @@
 // unsentError says that the last byte of a request was never written.
 type unsentError struct{ error }
 
-func newUpstream(cfg *Config, connections int) *upstream {
+func newUpstream(cfg *Config, connections int, room *budget) *upstream {
 	return &upstream{
 		dialer: net.Dialer{Timeout: time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond},
 		// An endpoint closes an idle connection when its time is over at the
 		// latest, and what is written to it from then on is lost.
 		idleMost: cfg.idle * 3 / 4,
-		fields:   cfg.fields, most: connections, idle: map[*target][]*conn{},
+		fields:   cfg.fields, room: room, most: connections, idle: map[*target][]*conn{},
 	}
 }
 
@@ -121,8 +127,7 @@
 // that the request never ran only where the last byte was not written, or the
 // endpoint says so; in doubt it may have run.
 func (u *upstream) attempt(ctx context.Context, t *target, m *message) result {
-	var response *http.Response
-	var body []byte
+	var got *received
 	var start time.Time
 	err := error(errStale)
 	for err == errStale { // nothing has been sent on that connection
@@ -131,7 +136,7 @@
 			return result{status: unsent(ctx, unable)}
 		}
 		start = time.Now()
-		response, body, err = u.exchange(ctx, c, m)
+		got, err = u.exchange(ctx, c, m)
 	}
 	r := result{status: balancer.Error, took: time.Since(start)}
 	var never *unsentError
@@ -145,10 +150,12 @@
 	case err != nil:
 		r.status = balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
 	default:
+		response := got.response
 		r.load = u.loadReport(response.Header.Get("X-Backend-Load"))
 		switch code := response.StatusCode; {
 		case code == http.StatusOK:
-			r.status, r.header, r.body = balancer.OK, response.Header, body
+			r.status, r.header, r.body = balancer.OK, response.Header, got.body
+			r.rest, r.length, r.held = got.rest, response.ContentLength, got.held
 		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 			response.Header.Get("X-Unprocessed") == "1":
 			r.status = balancer.Full
@@ -186,6 +193,7 @@
 	r := u.attempt(ctx, t, m)
 	if r.status == balancer.OK {
 		r.load = u.loadReport(string(r.body))
+		(&answer{rest: r.rest, held: r.held}).close()
 	}
 	return r
 }
@@ -235,7 +243,7 @@
 		return nil, err
 	}
 	c = &conn{Conn: raw, target: t}
-	c.limit.R = raw
+	c.limit.R = c
 	c.reader = bufio.NewReaderSize(&c.limit, answerMost)
 	return c, nil
 }
@@ -338,16 +346,53 @@
 	return err != nil || !silent
 }
 
-// exchange writes one request on a connection and reads the whole answer. It
-// gives the connection back.
-func (u *upstream) exchange(ctx context.Context, c *conn, m *message) (response *http.Response, body []byte, err error) {
+// Read reads with a limit on the time without a byte, where there is one.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.stall > 0 {
+		c.SetReadDeadline(time.Now().Add(c.stall))
+		if err := c.ctx.Err(); err != nil {
+			return 0, err // the deadline that tells so may have been overwritten
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+// received is an answer, whole or begun.
+type received struct {
+	response *http.Response
+	body     []byte
+	rest     *rest
+	held     func()
+}
+
+// exchange writes one request on a connection and reads the answer, or its
+// beginning. It gives the connection back unless there is a rest.
+func (u *upstream) exchange(ctx context.Context, c *conn, m *message) (got *received, err error) {
 	keep := false
+	c.ctx = ctx
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes a read or write
-	defer func() { u.release(c, stop() && keep) }()
+	defer func() {
+		c.stall = 0
+		kept := stop()
+		if err == nil && got.rest != nil {
+			if kept {
+				got.rest.keep, c.ctx, c.stall = keep, context.Background(), restStall
+				return
+			}
+			if got.held != nil {
+				got.held()
+			}
+			err = ctx.Err()
+		}
+		if kept && keep {
+			c.SetReadDeadline(time.Time{})
+		}
+		u.release(c, kept && keep)
+	}()
 
 	data, err := m.encode(ctx)
 	if err != nil {
-		return nil, nil, &unsentError{err}
+		return nil, &unsentError{err}
 	}
 	// The endpoint may have been told draining while the connection was
 	// dialled: nothing new may go there.
@@ -355,66 +400,105 @@
 	closed := c.target.closed
 	u.mu.Unlock()
 	if closed {
-		return nil, nil, &unsentError{errClosed}
+		return nil, &unsentError{errClosed}
 	}
 	// Looked at last thing before the write: what has come by now was not asked
 	// for, and must not be taken for the answer.
 	if c.used && !c.alive() {
-		return nil, nil, errStale
+		return nil, errStale
 	}
 	if n, err := c.Write(data); n < len(data) {
-		return nil, nil, &unsentError{err}
+		return nil, &unsentError{err}
 	}
-	if response, body, err = c.receive(m.method); err != nil {
-		return nil, nil, err
+	if got, err = u.receive(c, m.method); err != nil {
+		return nil, err
 	}
 	// Anything beyond the answer makes the connection useless: endpoints may send
 	// a second copy, or noise.
-	keep = !response.Close && response.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0
-	return response, body, nil
+	keep = !got.response.Close && got.response.StatusCode != http.StatusSwitchingProtocols &&
+		(got.rest != nil || c.reader.Buffered() == 0)
+	return got, nil
 }
 
-// receive reads one answer. A 200 must prove that it is whole: by one stated
-// length or complete chunks, not by the connection's end, nor by both, of which
-// http.ReadResponse hides one.
-func (c *conn) receive(method string) (*http.Response, []byte, error) {
-	c.limit.N = answerMost + bodyMost
-	defer c.SetReadDeadline(time.Time{})
+// receive reads one answer. A 200 must prove that it is whole: by one stated length
+// or complete chunks, or by an end of the connection that it has announced; not by
+// two of them, of which http.ReadResponse hides one. Of a large one, or one that
+// there is no room for, the rest is left to be read.
+func (u *upstream) receive(c *conn, method string) (*received, error) {
+	c.limit.N = answerMost + holdMost
 	for range interimMost {
+		c.stall = 0
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		// An answer that has begun and stalls would hold its request until the
 		// client's time is up.
-		c.SetReadDeadline(time.Now().Add(answerRest))
+		c.stall = answerRest
 		head, err := c.head()
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			c.SetReadDeadline(time.Time{})
 			continue
 		}
-		if response.StatusCode == http.StatusOK && (head.lengths > 1 || (head.lengths == 1) == head.coding) {
-			return nil, nil, errors.New("the answer's length is not stated in one way")
-		}
 		if response.ContentLength > bodyMost {
-			return nil, nil, errLarge
+			return nil, errLarge
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, bodyMost+1))
-		if err != nil {
-			return nil, nil, err
+		if response.StatusCode != http.StatusOK {
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, holdMost+1))
+			if err == nil && n > holdMost {
+				err = errLarge
+			}
+			return &received{response: response}, err
 		}
-		if len(body) > bodyMost {
-			return nil, nil, errLarge
+		closes := response.ProtoMinor == 0 || head.closing
+		if head.lengths > 1 || head.lengths == 1 && head.coding || head.lengths == 0 && !head.coding && !closes {
+			return nil, errors.New("the answer's length is not stated in one way")
+		}
+		c.limit.N = math.MaxInt64
+		return u.hold(c, response)
+	}
+	return nil, errors.New("interim answers without end")
+}
+
+// hold reads an answer's body whole where that is small, and else its beginning.
+func (u *upstream) hold(c *conn, response *http.Response) (*received, error) {
+	got := &received{response: response}
+	begin := func() { got.rest = &rest{up: u, conn: c, body: response.Body, left: bodyMost - int64(len(got.body))} }
+	size := response.ContentLength
+	if size < 0 {
+		size = holdMost
+	}
+	if size > holdMost || !u.room.take(size) {
+		// Its first byte is worth waiting for: an endpoint that fails here may still be replaced.
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		begin()
+		return got, nil
+	}
+	got.held = func() { u.room.give(size) }
+	began := time.Now()
+	got.body = make([]byte, 0, size)
+	for {
+		n, err := response.Body.Read(got.body[len(got.body):size])
+		got.body = got.body[:len(got.body)+n]
+		switch {
+		case err == io.EOF, err == nil && int64(len(got.body)) == response.ContentLength:
+			return got, nil
+		case err != nil:
+			got.held()
+			return nil, err
+		case response.ContentLength < 0 && (int64(len(got.body)) == size || time.Since(began) >= holdFor):
+			begin()
+			return got, nil
 		}
-		return response, body, nil
 	}
-	return nil, nil, errors.New("interim answers without end")
 }
 
 var errLarge = fmt.Errorf("the answer's body is over %d bytes", bodyMost)
