Pass large bodies on while they come, at a slow client's pace, and time them from the end

Up to 64 KiB are held and sent as before. Of more, the first 64 KiB are held and the rest goes to the endpoint as it comes; nothing is sent again once more than that was read. Before the last bytes are written, one atomic step decides between "may run" and "never ran", so that an early answer, a break or a client's end is proof. The module is told of the last byte: until then the attempt is no load at its endpoint, and the request's time begins there. A client refused meanwhile may write to its end, or it would find a reset and not its answer.

Not taken: holding large bodies whole, which 32 MB many at a time forbid; and picking the endpoint after the last byte, for the same reason.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -222,6 +222,7 @@
 	HasHint  bool
 	Retry    bool // the client marked it as a repetition
 	Write    bool
+	Passing  bool // its body is passed on while it comes: Written tells its last byte
 	Tenant   uint16
 	Class    uint8
 }
@@ -250,6 +251,7 @@
 	Status   Status
 	Latency  Micros
 	Settled  bool // the request has its final answer
+	Spent    bool // its body is no longer held whole: it can't be sent again
 	Load     []float32
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,7 +102,7 @@
 
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
-	if r.ended || r.stream || r.waits(b.s.Limits.SecondCopies) || now >= r.Deadline ||
+	if r.ended || r.stream || r.spent || r.waits(b.s.Limits.SecondCopies && !r.Passing) || now >= r.Deadline ||
 		len(r.attempts) >= b.s.Limits.MaxAttempts || !e.usable() {
 		return false
 	}
@@ -135,12 +135,15 @@
 	}
 	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, cold: cold, expected: b.predict(now, e, r.work),
 		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), factor: r.work * b.crowding(e),
-		out: true, mayRun: true}
+		out: true, mayRun: true, written: !r.Passing}
 	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
 	r.attempts = append(r.attempts, a)
 	r.out++
-	e.inflight++
-	e.sentAt = now
+	if e.sentAt = now; r.Passing {
+		e.writing++ // the endpoint begins it with its last byte
+	} else {
+		e.inflight++
+	}
 	b.stats.Sends++
 	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, 0)
@@ -218,7 +221,7 @@
 
 // forgotten drops an endpoint that is gone with nothing out there, and says so.
 func (b *Balancer) forgotten(e *endpoint) bool {
-	forget := e.State == Gone && e.inflight == 0
+	forget := e.State == Gone && e.inflight+e.writing == 0
 	if forget && b.byID[e.ID] == e {
 		delete(b.byID, e.ID)
 	}
@@ -236,7 +239,7 @@
 	restarted := !fresh && in.StartTime != 0 && in.StartTime != e.StartTime
 	if restarted {
 		// A new process owes nothing to the old one's record.
-		*e = endpoint{inflight: e.inflight}
+		*e = endpoint{inflight: e.inflight, writing: e.writing}
 	}
 	e.out = b.cordoned[in.Name]
 	started := in.StartTime
@@ -276,7 +279,8 @@
 			continue
 		}
 		if e.out = out; !out {
-			*e = endpoint{Endpoint: e.Endpoint, seen: e.seen, inflight: e.inflight, pooled: e.pooled}
+			*e = endpoint{Endpoint: e.Endpoint, seen: e.seen, pooled: e.pooled, inflight: e.inflight,
+				writing: e.writing}
 			if now-since < b.s.Contract.RampTime {
 				b.chilled(now, e, since)
 				// Staff wait to see it serve. One request each is soon more than it can bear.
@@ -1024,7 +1028,7 @@
 			b.usual.add(cores+b.line(float64(now-e.probedAt)), usualWeight)
 		}
 		b.decide(now, r)
-	} else if n := len(r.attempts); n > 0 {
+	} else if n := len(r.attempts); n > 0 && !r.Passing {
 		if a := &r.attempts[n-1]; a.out && !a.late && now >= a.lateAt {
 			b.late(now, r, a)
 		}
@@ -1066,6 +1070,24 @@
 	r.stream = true
 }
 
+// Written handles the last byte of a request that is passed on while it comes: its time counts from here, and
+// so does its attempt's.
+func (b *Balancer) Written(now Micros, id uint64, deadline Micros) {
+	r := b.requests[id]
+	if r == nil || r.ended || len(r.attempts) == 0 {
+		return
+	}
+	r.arrived, r.Deadline, r.spent = now, deadline, true
+	a := &r.attempts[len(r.attempts)-1]
+	if a.out && !a.written {
+		a.written = true
+		a.ep.writing--
+		a.ep.inflight++
+	}
+	a.at, a.lateAt = now, a.lateAt+now-a.at
+	b.out.Timer(max(1, deadline-now), r.token)
+}
+
 // Outcome handles the end of an attempt.
 func (b *Balancer) Outcome(now Micros, o Outcome) {
 	r := b.requests[o.ID]
@@ -1075,7 +1097,12 @@
 	a := &r.attempts[o.Attempt]
 	a.out = false
 	r.out--
-	a.ep.inflight--
+	r.spent = r.spent || o.Spent
+	if a.written {
+		a.ep.inflight--
+	} else {
+		a.ep.writing--
+	}
 	if b.forgotten(a.ep) { // the next list may be long in coming
 		b.list = slices.DeleteFunc(b.list, func(e *endpoint) bool { return e == a.ep })
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -84,6 +84,7 @@
 	pass     bool    // it was sent although it seemed too late
 	good     float64 // 1 once answered within its aim
 	held     bool    // it waits for probes
+	spent    bool    // it can't be sent again
 	awaits   []*endpoint
 }
 
@@ -102,6 +103,7 @@
 	cold     bool    // ep was warming up when sent to
 	out      bool    // no outcome yet
 	mayRun   bool    // it may have had its effect, or may yet
+	written  bool    // its last byte is out
 }
 
 // endpoint is what a balancer knows of an endpoint.
@@ -115,6 +117,7 @@
 	taken    float64 // work that it got from us while cold
 
 	inflight int    // own attempts without outcome
+	writing  int    // and those of which the last byte is not out yet
 	sentAt   Micros // latest own send
 	answered Micros // latest send of those that were answered
 	heardAt  Micros // latest answer of any kind, also to a probe
@@ -290,7 +293,7 @@
 	// The high bits count uses of the slot, so that an old timer finds nothing.
 	r.token += 1 << slotBits
 	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
-	r.good, r.pass, r.held, r.awaits = 0, false, false, r.awaits[:0]
+	r.good, r.pass, r.held, r.spent, r.awaits = 0, false, false, false, r.awaits[:0]
 	b.requests[in.ID] = r
 	b.open++
 	return r
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -24,7 +24,7 @@
 	Held  float64 // sum of the requests that these reported
 	Lined uint64  // of these, those whose wait was taken for a line of requests
 
-	Open, InFlight, Listed, Cordoned, Cold, Ejected, Pooled int
+	Open, InFlight, Writing, Listed, Cordoned, Cold, Ejected, Pooled int
 
 	Load        float64 // of others at an endpoint, usually
 	Pace        float64 // of the fleet: time taken per predicted work
@@ -57,6 +57,7 @@
 	s.Open, s.Listed = b.open, len(b.list)
 	for _, e := range b.list {
 		s.InFlight += e.inflight
+		s.Writing += e.writing
 		s.Cordoned += int(share(e.out))
 		s.Cold += int(share(e.cold(now, b)))
 		s.Ejected += int(share(e.ejected(now)))
@@ -81,7 +82,7 @@
 	ok, probed := s.Outcomes[OK]-old.Outcomes[OK], s.Probes[OK]-old.Probes[OK]
 	coldOK := s.ColdOK - old.ColdOK
 	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d outcomes=%s "+
-		"expected_ms=%.1f latency_ms=%.1f cold_sends=%d cold_ok=%d cold_timeouts=%d cold_expected_ms=%.1f cold_latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d listed=%d cordoned=%d cold=%d ejected=%d "+
+		"expected_ms=%.1f latency_ms=%.1f cold_sends=%d cold_ok=%d cold_timeouts=%d cold_expected_ms=%.1f cold_latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d writing=%d listed=%d cordoned=%d cold=%d ejected=%d "+
 		"pooled=%d load=%.2f pace=%.2f slowdown=%.2f refused_share=%.2f reports_late=%v",
 		s.Requests-old.Requests, s.Sends-old.Sends, s.Refused-old.Refused, s.Failed-old.Failed,
 		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, statuses(&s.Outcomes, &old.Outcomes),
@@ -90,6 +91,6 @@
 		mean(s.ColdExpected-old.ColdExpected, coldOK), mean(s.ColdLatency-old.ColdLatency, coldOK),
 		statuses(&s.Probes, &old.Probes), mean(s.ProbeLatency-old.ProbeLatency, probed),
 		(s.Held-old.Held)/float64(max(1, probed)), s.Lined-old.Lined,
-		s.Open, s.InFlight, s.Listed, s.Cordoned, s.Cold, s.Ejected, s.Pooled,
+		s.Open, s.InFlight, s.Writing, s.Listed, s.Cordoned, s.Cold, s.Ejected, s.Pooled,
 		s.Load, s.Pace, s.Slowdown, s.RefusedOf, s.ReportsLate)
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -96,7 +96,7 @@
 }
 
 func (a *admin) handle(w http.ResponseWriter, in *http.Request) {
-	if _, ok := in.Context().Value(connKey{}).(*clientConn).begin(in.ContentLength); !ok {
+	if ok := in.Context().Value(connKey{}).(*clientConn).begin(); !ok {
 		panic(http.ErrAbortHandler) // it has just made room
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -196,19 +196,13 @@
 	}
 }
 
-// begin marks that a request is open; false says that its connection has just
-// had to make room. From here on what is read belongs to the next request. alone
-// says that nothing came behind this one, whose body has this length (-1:
-// unknown).
-func (c *clientConn) begin(length int64) (alone, ok bool) {
-	c.mu.Lock()
-	alone = length >= 0 && c.head.size == c.head.end+length
-	c.head = headScan{}
-	c.mu.Unlock()
+// begin marks that a request is open; false says that its connection has just had
+// to make room.
+func (c *clientConn) begin() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if c.left {
-		return alone, false
+		return false
 	}
 	c.owner.waiting.Remove(c.place)
 	c.place = nil
@@ -216,7 +210,17 @@
 		c.asked = true
 		c.owner.asked++
 	}
-	return alone, true
+	return true
+}
+
+// alone says that nothing came behind a request, whose body has this length (-1:
+// unknown) and has been read. What is read from here on belongs to the next.
+func (c *clientConn) alone(length int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	alone := length >= 0 && c.head.size == c.head.end+length
+	c.head = headScan{}
+	return alone
 }
 
 // done marks that the request has its whole answer.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -35,6 +35,7 @@
 	Start(now balancer.Micros)
 	Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint)
 	Request(now balancer.Micros, in balancer.Request)
+	Written(now balancer.Micros, id uint64, deadline balancer.Micros)
 	Outcome(now balancer.Micros, o balancer.Outcome)
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
@@ -199,6 +200,16 @@
 	l.lastID++
 	r.id, in.ID, r.deadline = l.lastID, l.lastID, in.Deadline
 	l.requests[r.id] = r
+	if up := r.message.upload; up != nil {
+		up.written = func() {
+			l.post(func(at balancer.Micros) {
+				if !r.over {
+					r.deadline = at + up.left.Microseconds()
+					l.balancer.Written(at, r.id, r.deadline)
+				}
+			})
+		}
+	}
 	l.balancer.Request(now, in)
 	l.forget(r)
 }
@@ -376,6 +387,11 @@
 		cancel()
 		l.post(func(at balancer.Micros) {
 			o.Status, o.Load, o.Latency = res.status, res.load, at-now
+			if up := r.message.upload; up != nil {
+				if o.Spent = up.spent.Load() || up.phase.Load() != passing; !up.at.IsZero() {
+					o.Latency = time.Since(up.at).Microseconds()
+				}
+			}
 			l.outcome(at, r, o, res)
 			l.back(endpoint)
 		})
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,9 +32,9 @@
 	crowdPart    = 6                      // of the descriptors: clients hold twice as many for requests at most
 	bodiesPart   = 8                      // of the memory, this part may hold bodies of requests
 
-	// A request comes in one piece from the application next door. A client that
-	// takes longer is silent, slow on purpose or dead, and 3 s are the most it may stay.
-	readTimeout  = 2 * time.Second
+	// A client that takes longer is silent, slow on purpose or dead, and 3 s are the
+	// most it may stay.
+	readTimeout  = 2500 * time.Millisecond // for a head: one that comes slowly may take 2 s
 	idleTimeout  = 2100 * time.Millisecond // a connection may be closed after 2 s with no request open
 	writeTimeout = 2 * time.Second         // for an answer: it fits into the socket's buffer unless a client reads nothing
 )
@@ -123,7 +124,7 @@
 	}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
-		ReadTimeout: readTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: readTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: headMost, ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateIdle {
 				c.(*clientConn).done()
@@ -220,19 +221,17 @@
 }
 
 // turnAway answers a request whose body may not be read yet, and ends its
-// connection. After the answer it reads on, up to the limit of a body and the
-// time for a request: closed with something unread, the connection would be
-// reset, and a client that is still writing would find that and not its answer.
+// connection.
 func turnAway(w http.ResponseWriter, in *http.Request, a answer) {
 	w.Header().Set("Connection", "close")
 	writeAnswer(w, a)
 	if http.NewResponseController(w).Flush() != nil {
 		return // the client is gone
 	}
-	io.Copy(io.Discard, http.MaxBytesReader(w, in.Body, holdMost)) // as much as comes is enough
+	linger(newPaced(in.Context().Value(connKey{}).(*clientConn), in.Body), lingerMost)
 }
 
-// handle reads a request whole and answers it.
+// handle reads a request, whole or as much as is held, and answers it.
 func (s *server) handle(w http.ResponseWriter, in *http.Request) {
 	arrived := s.loop.clock.now()
 	c := in.Context().Value(connKey{}).(*clientConn)
@@ -250,32 +249,43 @@
 			return
 		}
 	}
-	held := int64(holdMost)
-	if in.ContentLength >= 0 {
-		held = in.ContentLength
-	}
-	if held > holdMost {
+	if in.ContentLength > bodyMost {
 		reject(w, in, &badRequest{http.StatusRequestEntityTooLarge, tooLarge})
 		return
 	}
+	held := int64(holdMost)
+	if in.ContentLength >= 0 {
+		held = min(held, in.ContentLength)
+	}
 	if !s.loop.up.room.take(held) {
 		turnAway(w, in, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
 	defer s.loop.up.room.give(held)
-	body, err := readBody(w, in)
+	from := newPaced(c, in.Body)
+	body, whole, err := readBody(from, held, in.ContentLength)
 	if err != nil {
 		reject(w, in, err)
 		return
 	}
-	alone, ok := c.begin(in.ContentLength)
-	if !ok {
+	if !c.begin() {
 		panic(http.ErrAbortHandler)
 	}
+	m := &message{method: in.Method, url: in.URL, host: in.Host, header: in.Header, body: body}
+	if !whole {
+		left := time.Duration(req.Deadline-arrived) * time.Microsecond
+		m.upload = &upload{length: in.ContentLength, left: left, body: from, failed: make(chan error, 1)}
+		req.Passing, req.Deadline = true, arrived+passMost.Microseconds()
+		s.request(w, in, c, req, m)
+		return
+	}
+	if req.Deadline > 0 { // its time counts from its last byte
+		req.Deadline += s.loop.clock.now() - arrived
+	}
 	// The deadline for reading the request would otherwise end its context
 	// while the answer is still awaited.
 	c.SetReadDeadline(time.Time{})
-	if !alone {
+	if !c.alone(in.ContentLength) {
 		// Clients send one request at a time. What came behind this one is left
 		// unread: only a client's own word says that it is a request.
 		w.Header().Set("Connection", "close")
@@ -284,32 +294,31 @@
 		s.ready(w)
 		return
 	}
-	s.request(w, in, c, req, body)
+	s.request(w, in, c, req, m)
 }
 
-var tooLarge = fmt.Sprintf("the body is over %d bytes", holdMost)
+var tooLarge = fmt.Sprintf("the body is over %d bytes", bodyMost)
 
-// readBody reads a request's body, within its limit.
-func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
-	if in.ContentLength >= 0 {
-		body := make([]byte, in.ContentLength)
-		if _, err := io.ReadFull(in.Body, body); err != nil {
-			return nil, bad("the body could not be read")
-		}
-		return body, nil
+// readBody reads a request's body, up to what may be held of it.
+func readBody(from io.Reader, most, length int64) (body []byte, whole bool, err error) {
+	body = make([]byte, most)
+	n, err := io.ReadFull(from, body)
+	short := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	switch {
+	case err == nil:
+		return body, length == most, nil
+	case short && length < 0:
+		return body[:n], true, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, holdMost))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &badRequest{http.StatusRequestEntityTooLarge, tooLarge}
-	} else if err != nil {
-		return nil, bad("the body could not be read")
+	var b *badRequest
+	if errors.As(err, &b) {
+		return nil, false, err
 	}
-	return body, nil
+	return nil, false, bad("the body could not be read")
 }
 
 // request takes one request and gives its one final answer.
-func (s *server) request(w http.ResponseWriter, in *http.Request, c *clientConn, req balancer.Request, body []byte) {
+func (s *server) request(w http.ResponseWriter, in *http.Request, c *clientConn, req balancer.Request, m *message) {
 	id := in.Header.Get("X-Correlation-Id")
 	s.mu.Lock()
 	open := s.ids[id]
@@ -324,13 +333,21 @@
 		delete(s.ids, id)
 		s.mu.Unlock()
 	}()
-	r := &request{answer: make(chan answer, 1),
-		message: &message{method: in.Method, url: in.URL, host: in.Host, header: in.Header, body: body}}
+	r := &request{answer: make(chan answer, 1), message: m}
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
+	var failed chan error
+	if m.upload != nil {
+		failed = m.upload.failed
+		defer m.upload.end()
+	}
 	select {
 	case a := <-r.answer:
 		defer a.close()
-		if s.clients.crowded() || s.leaving() {
+		if m.upload != nil {
+			defer s.hearOut(w, c, m.upload)
+		}
+		late := m.upload != nil && !(m.upload.finished.Load() && c.alone(m.upload.length))
+		if late || s.clients.crowded() || s.leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -342,6 +359,12 @@
 			c.cut()
 			panic(http.ErrAbortHandler)
 		}
+	case err := <-failed:
+		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			panic(http.ErrAbortHandler)
+		}
+		reject(w, in, bad("the body could not be read"))
 	case <-in.Context().Done():
 		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
 		// A client that has only stopped sending must not read a whole answer
@@ -350,6 +373,17 @@
 	}
 }
 
+// hearOut lets a client that has its answer write its body to the end.
+func (s *server) hearOut(w http.ResponseWriter, c *clientConn, u *upload) {
+	if u.finished.Load() {
+		c.SetReadDeadline(time.Time{})
+		return
+	}
+	http.NewResponseController(w).Flush()
+	u.end()
+	linger(u.body, passMost)
+}
+
 func writeAnswer(w http.ResponseWriter, a answer) {
 	endToEnd(w.Header(), a.header)
 	if a.retryAfter > 0 {
--- /dev/null
+++ b/internal/sidecar/upload_test.go
@@ -0,0 +1,190 @@
+package sidecar
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+// sum answers each request with the length of its body.
+func sum(e *endpoint, conn net.Conn, in *bufio.Reader) {
+	for r := e.next(in); r != nil; r = e.next(in) {
+		body, _ := io.ReadAll(r.Body)
+		text := fmt.Sprint(len(body))
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+}
+
+// A large body reaches the endpoint whole, by its length or in chunks, on a new
+// connection and on a used one, and its client's connection serves on.
+func TestLargeBodiesPass(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", large/16)
+	e := newEndpoint(t, sum)
+	w := start(t, nil, ready("s-1", e.address))
+	for name, framed := range map[string]string{
+		"by length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"in chunks": "Transfer-Encoding: chunked\r\n\r\n" + inChunks(body, 10_000) + "0\r\n\r\n",
+		"held":      fmt.Sprintf("Content-Length: %d\r\n\r\n%s", holdMost, body[:holdMost]),
+		"asked for": "Expect: 100-continue\r\n" + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+	} {
+		conn := w.dial()
+		in := bufio.NewReader(conn)
+		for i := range 2 {
+			want, size := "200 OK", len(body)
+			if name == "held" {
+				size = holdMost
+			}
+			fmt.Fprintf(conn, "%sX-Correlation-Id: %s%d\r\n%s", payHead, name[:1], i, framed)
+			response, err := http.ReadResponse(in, nil)
+			if err == nil && response.StatusCode == http.StatusContinue {
+				response, err = http.ReadResponse(in, nil)
+			}
+			if err != nil || response.Status != want {
+				t.Fatalf("%s: %v, %v", name, response, err)
+			}
+			if got, _ := io.ReadAll(response.Body); string(got) != fmt.Sprint(size) {
+				t.Errorf("%s: the endpoint read %s bytes", name, got)
+			}
+			if name == "in chunks" { // its end is not told apart from what follows
+				break
+			}
+		}
+	}
+	if n, conns := e.seen(); n != 7 || conns != 1 {
+		t.Errorf("%d requests on %d connections, want 7 on 1", n, conns)
+	}
+	w.until("the room to be given back", func() bool { return w.loop.up.room.used.Load() == 0 })
+}
+
+// A client may write slowly, and its time counts from the last byte.
+func TestSlowBodyIsAwaited(t *testing.T) {
+	t.Parallel()
+	e := newEndpoint(t, sum)
+	w := start(t, nil, ready("s-1", e.address))
+	for name, size := range map[string]int{"held": 48 << 10, "passed on": 192 << 10} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn := w.dial()
+			fmt.Fprintf(conn, "%sX-Correlation-Id: %d\r\nContent-Length: %d\r\n\r\n",
+				strings.Replace(payHead, "3000", "600", 1), size, size)
+			const piece = 8 << 10 // 64 kB a second
+			for range size / piece {
+				time.Sleep(time.Second / 8)
+				io.WriteString(conn, strings.Repeat("x", piece))
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != 200 {
+				t.Fatalf("%v, %v", response, err)
+			}
+			if got, _ := io.ReadAll(response.Body); string(got) != fmt.Sprint(size) {
+				t.Errorf("the endpoint read %s bytes", got)
+			}
+		})
+	}
+}
+
+// A body that stops, breaks or is too long ends in an error or a close, the endpoint
+// never has a whole request, and nothing stays held.
+func TestBrokenBodies(t *testing.T) {
+	const part = 200 << 10
+	for name, c := range map[string]struct{ framed, want string }{
+		"stops":          {fmt.Sprintf("Content-Length: %d\r\n\r\n%s", large, strings.Repeat("x", part)), ""},
+		"stops at once":  {fmt.Sprintf("Content-Length: %d\r\n\r\n", large), "HTTP/1.1 400"},
+		"a broken chunk": {"Transfer-Encoding: chunked\r\n\r\n" + inChunks(strings.Repeat("x", part), 1000) + "zz\r\n", "HTTP/1.1 400"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newEndpoint(t, sum)
+			w := start(t, nil, ready("s-1", e.address))
+			began := time.Now()
+			if got := w.raw(payHead + "X-Correlation-Id: 1\r\n" + c.framed); !strings.HasPrefix(got, c.want) || strings.Contains(got, " 200 ") {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+			if took := time.Since(began); took > patience/2 {
+				t.Errorf("it took %v", took)
+			}
+			w.until("the room to be given back", func() bool { return w.loop.up.room.used.Load() == 0 })
+			w.until("the request to be forgotten", func() bool {
+				var n int
+				w.do(func() { n = len(w.loop.requests) })
+				return n == 0
+			})
+			if n, _ := e.seen(); n != 0 {
+				t.Errorf("the endpoint read %d whole requests", n)
+			}
+		})
+	}
+	p := &paced{conn: &clientConn{Conn: quiet{}}, body: strings.NewReader("123456"), allowance: time.Hour, left: 5}
+	var b *badRequest
+	if _, err := io.ReadAll(p); !errors.As(err, &b) || b.code != http.StatusRequestEntityTooLarge {
+		t.Errorf("a body beyond the limit: %v", err)
+	}
+}
+
+// quiet is a connection that has no deadlines.
+type quiet struct{ net.Conn }
+
+func (quiet) SetReadDeadline(time.Time) error { return nil }
+
+// An endpoint that gives up a large body that it has only begun to read never ran
+// it. The client is refused at once, and may write to the end before it reads that.
+func TestEndpointThatTurnsALargeBodyAway(t *testing.T) {
+	for name, answer := range map[string]string{"with an answer": full, "by closing": ""} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(_ *endpoint, conn net.Conn, in *bufio.Reader) {
+				in.Discard(holdMost)
+				io.WriteString(conn, answer)
+				if answer != "" {
+					io.Copy(io.Discard, in)
+				}
+			})
+			w := start(t, nil, ready("s-1", e.address))
+			conn := w.dial()
+			fmt.Fprintf(conn, "%sX-Correlation-Id: 1\r\nContent-Length: %d\r\n\r\n%s", payHead, large, strings.Repeat("x", 2*holdMost))
+			in := bufio.NewReader(conn)
+			response, err := http.ReadResponse(in, nil)
+			if err != nil || response.StatusCode != 503 || response.Header.Get("Retry-After") == "" || !response.Close {
+				t.Fatalf("%v, %v", response, err)
+			}
+			if _, err := io.WriteString(conn, strings.Repeat("x", large-2*holdMost)); err != nil {
+				t.Errorf("the rest of the body: %v", err)
+			}
+			if _, err := io.Copy(io.Discard, in); err != nil {
+				t.Errorf("the end of the connection: %v", err)
+			}
+			if all := w.spy.statuses(); len(all) != 1 || all[0] != balancer.ConnectFailed {
+				t.Errorf("outcomes %v, want one that proves it never ran", all)
+			}
+		})
+	}
+}
+
+// While nothing beyond the held part of a body was read, the request goes on to
+// another endpoint.
+func TestLargeBodyGoesElsewhere(t *testing.T) {
+	e := newEndpoint(t, sum)
+	w := start(t, nil, ready("s-1", closedAddress(t)), ready("s-2", e.address))
+	body := strings.Repeat("x", large)
+	for range 8 { // until the one that refuses connections was drawn first
+		if got := w.send(w.request("order", body, time.Minute)); got.code != 200 || got.body != fmt.Sprint(large) {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	failed := 0
+	for _, status := range w.spy.statuses() {
+		if status == balancer.ConnectFailed {
+			failed++
+		}
+	}
+	if failed == 0 {
+		t.Error("no connection failed: the test shows nothing")
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -89,6 +89,7 @@
 	host   string
 	header http.Header // X-Time-Left-Ms is written for each attempt
 	body   []byte
+	upload *upload // what follows body while it comes; nil where that is all
 }
 
 // result is what came of an attempt or a probe.
@@ -108,6 +109,8 @@
 	errClosed = errors.New("the endpoint is draining or gone")
 	errFull   = errors.New("no connection is left")
 	errStale  = errors.New("the idle connection is of no more use")
+	errOver   = errors.New("the time of a request that was passed on is up")
+	errEarly  = errors.New("an answer came before the request was written")
 )
 
 // unsentError says that the last byte of a request was never written.
@@ -143,7 +146,7 @@
 	switch {
 	case errors.As(err, &never):
 		r.status = unsent(ctx, never.error)
-	case err != nil && over(ctx):
+	case err == errOver || err != nil && over(ctx):
 		r.status = balancer.Timeout
 	case err != nil && ctx.Err() != nil:
 		r.status = balancer.Cancelled
@@ -173,9 +176,10 @@
 }
 
 // unsent is the outcome of a request that was not written: the endpoint's
-// fault, unless the sidecar no longer wanted to send it.
+// fault, unless the sidecar no longer wanted to send it, or the client to write it.
 func unsent(ctx context.Context, err error) balancer.Status {
-	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) {
+	var client *clientError
+	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) || errors.Is(err, errStopped) || errors.As(err, &client) {
 		return balancer.Moot
 	}
 	return balancer.ConnectFailed
@@ -369,7 +373,7 @@
 // beginning. It gives the connection back unless there is a rest.
 func (u *upstream) exchange(ctx context.Context, c *conn, m *message) (got *received, err error) {
 	keep := false
-	c.ctx = ctx
+	c.ctx, c.limit.N = ctx, answerMost+holdMost
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes a read or write
 	defer func() {
 		c.stall = 0
@@ -410,6 +414,26 @@
 	if n, err := c.Write(data); n < len(data) {
 		return nil, &unsentError{err}
 	}
+	if m.upload != nil {
+		if err := u.send(c, m); err != nil {
+			return nil, err
+		}
+		// From here on the request's time runs.
+		m.upload.at = time.Now()
+		m.upload.written()
+		timed, cancel := context.WithDeadline(ctx, time.Now().Add(m.upload.left))
+		defer cancel()
+		c.ctx = timed
+		wake := context.AfterFunc(timed, func() { c.SetDeadline(time.Unix(1, 0)) })
+		defer func() {
+			if wake() {
+				return
+			}
+			if keep = false; err != nil && over(timed) {
+				err = errOver
+			}
+		}()
+	}
 	if got, err = u.receive(c, m.method); err != nil {
 		return nil, err
 	}
@@ -420,12 +444,40 @@
 	return got, nil
 }
 
+// send passes a request's body on while it comes. Until its last byte is written
+// the request never ran; an endpoint that answers before that, or ends the
+// connection, has done with it.
+func (u *upstream) send(c *conn, m *message) error {
+	sent := make(chan error, 1)
+	go func() {
+		err := m.passOn(c)
+		c.SetReadDeadline(time.Unix(1, 0)) // wakes the look below
+		sent <- err
+	}()
+	_, early := c.reader.Peek(1)
+	if m.upload.phase.CompareAndSwap(passing, stopped) {
+		select {
+		case err := <-sent:
+			return &unsentError{err}
+		default:
+		}
+		if early == nil {
+			early = errEarly
+		}
+		return &unsentError{early}
+	}
+	if err := <-sent; err != nil {
+		return &unsentError{err}
+	}
+	c.SetDeadline(time.Time{})
+	return c.ctx.Err() // that it is over may just have been overwritten
+}
+
 // receive reads one answer. A 200 must prove that it is whole: by one stated length
 // or complete chunks, or by an end of the connection that it has announced; not by
 // two of them, of which http.ReadResponse hides one. Of a large one, or one that
 // there is no room for, the rest is left to be read.
 func (u *upstream) receive(c *conn, method string) (*received, error) {
-	c.limit.N = answerMost + holdMost
 	for range interimMost {
 		c.stall = 0
 		if _, err := c.reader.Peek(1); err != nil {
@@ -520,22 +572,32 @@
 	return h, nil
 }
 
-// encode writes the request with the time that this attempt has left.
+// encode writes the request with the time that this attempt has left, up to the
+// end of what is held of its body or, where more follows, of its head.
 func (m *message) encode(ctx context.Context) ([]byte, error) {
-	request := http.Request{Method: m.method, URL: m.url, Host: m.host, Header: http.Header{},
-		ContentLength: int64(len(m.body))}
-	endToEnd(request.Header, m.header)
-	if until, ok := ctx.Deadline(); ok {
-		left := max(0, time.Until(until).Milliseconds())
-		request.Header.Set("X-Time-Left-Ms", strconv.FormatInt(left, 10))
-	}
-	if len(m.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(m.body))
+	header := http.Header{}
+	endToEnd(header, m.header)
+	length := int64(len(m.body))
+	if m.upload != nil { // its time counts from its last byte
+		length = m.upload.length
+		header.Set("X-Time-Left-Ms", strconv.FormatInt(m.upload.left.Milliseconds(), 10))
+	} else if until, ok := ctx.Deadline(); ok {
+		header.Set("X-Time-Left-Ms", strconv.FormatInt(max(0, time.Until(until).Milliseconds()), 10))
+	}
+	if length < 0 {
+		header.Set("Transfer-Encoding", "chunked")
+	} else if length > 0 || m.method != http.MethodGet {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	var data bytes.Buffer
-	if err := request.Write(&data); err != nil {
+	fmt.Fprintf(&data, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.url.RequestURI(), m.host)
+	if err := header.Write(&data); err != nil {
 		return nil, err
 	}
+	data.WriteString("\r\n")
+	if m.upload == nil {
+		data.Write(m.body)
+	}
 	return data.Bytes(), nil
 }
 
