Let the process that takes over go on from what the one before it learned

Each new process refused 75% to 97% for 5 to 8 s after its start, 1857 requests with 73 sent in two seconds, as too late: "work 20 ms, pace 2.06", where the process before it held pace 0.6 to 1.0 and late reports for known. Its first answers came from a fleet with two warm endpoints, and what it refused kept it from learning better.

Ruled out: the door (0 requests ended there), the calls (0 late), the core (0.15 s of it in the busiest second), waits of events (0.2 ms), probes (all answered).

Design: once a second, where a socket is passed, the balancer's averages go to a file beside the state, by rename: pace, work by class, ways, usual loads, whether reports are late, and the pace of each life of an endpoint. A file over 30 s old, damaged or another sidecar's is as good as none.

To blame: Start, which began every process as the first one.

Tests: learned_test.go, memory_test.go.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -246,7 +246,9 @@
 	if started == 0 && fresh && b.listed {
 		started = now // it appeared while we watched
 	}
-	e.Endpoint, e.seen = *in, true
+	if e.Endpoint, e.seen = *in, true; fresh {
+		b.recall(e)
+	}
 	b.largest = max(b.largest, float64(e.Share))
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
 		b.chilled(now, e, started)
@@ -922,9 +924,9 @@
 		c.since++
 		if !first || c.since < b.passOf || now-c.passed < forcedPass {
 			b.stats.TooLate++
-			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit "+
-				"%.0f ms; work %.0f ms, pace %.2f, load %.1f, ours %d, value %.2f", 100*b.refused.v, e.ID, x/1000, most/1000,
-				r.work/1000, e.paceNow(now, b), b.load(e), e.inflight, r.value)
+			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f "+
+				"ms; work %.0f ms, pace %.2f, load %.1f, ours %d, value %.2f", 100*b.refused.v, e.ID, x/1000,
+				most/1000, r.work/1000, e.paceNow(now, b), b.load(e), e.inflight, r.value)
 			return false
 		}
 		c.passed, c.since = now, 0
--- /dev/null
+++ b/balancer/learned_test.go
@@ -0,0 +1,78 @@
+package balancer
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+)
+
+// What one process has learned the next one goes by, from its first request on; an
+// endpoint's new life owes nothing to what was known of the old one.
+func TestNextProcessGoesOnFromWhatWasLearned(t *testing.T) {
+	list := named(ready(4))
+	list[3].StartTime = 5
+	old, r := start(t, testSettings(), list)
+	for id := range uint64(400) {
+		now := Micros(id) * 50_000
+		old.Request(now, request0(id+1, 0, now))
+		for _, p := range r.probes {
+			old.Probed(now, p, OK, 5000, []float32{1})
+		}
+		s := r.sends[len(r.sends)-1]
+		took := 100_000 + 1000*Micros(s.endpoint)
+		old.Outcome(now+took, Outcome{ID: s.id, Endpoint: s.endpoint, Status: OK, Latency: took, Settled: true})
+	}
+	now := 20 * second
+	text, err := json.Marshal(old.Learned())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l Learned
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.Fatal(err)
+	}
+	list[3].StartTime = 6
+	next, err := New(testSettings(), 8, &recorder{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Start(now)
+	next.Learn(&l)
+	next.Members(now, ListCached, list)
+	work := next.classes[0].work.v
+	if work != old.classes[0].work.v || next.usual.v != old.usual.v || next.ways[0].v != old.ways[0].v {
+		t.Errorf("work %v, usual load %v, way %v; want %v, %v, %v", work, next.usual.v, next.ways[0].v,
+			old.classes[0].work.v, old.usual.v, old.ways[0].v)
+	}
+	seen := 0
+	for id := uint32(1); id <= 3; id++ {
+		was, is := old.byID[id].paceNow(now, old), next.byID[id].paceNow(now, next)
+		if math.Abs(was-is) > 1e-9 {
+			t.Errorf("pace of endpoint %d: %v, was %v", id, is, was)
+		}
+		if old.byID[id].pace.seen {
+			seen++
+		}
+	}
+	if seen < 2 {
+		t.Error("few endpoints have a pace: the test shows little")
+	}
+	if next.byID[4].pace.seen {
+		t.Error("a new life goes by the old one's pace")
+	}
+}
+
+// What makes no sense, or is of other settings, changes nothing.
+func TestSenselessLearnedIsIgnored(t *testing.T) {
+	for name, l := range map[string]Learned{
+		"nothing": {}, "other classes": {Pace: 2, Works: []float64{1}}, "no pace": {Pace: math.NaN(), Works: make([]float64, 5)},
+		"endless": {Pace: math.Inf(1), Works: make([]float64, 5)}, "no work": {Pace: 1, Works: make([]float64, 5), Chill: 9},
+	} {
+		b, _ := start(t, testSettings(), ready(2))
+		work := b.classes[0].work.v
+		b.Learn(&l)
+		if b.classes[0].work.v != work || b.chill.v > 1 || !sound(b.fleet.or(1)) {
+			t.Errorf("%s: work %v, chill %v, pace %v", name, b.classes[0].work.v, b.chill.v, b.fleet.v)
+		}
+	}
+}
--- a/balancer/source_test.go
+++ b/balancer/source_test.go
@@ -33,7 +33,7 @@
 
 func TestModuleImports(t *testing.T) {
 	allowed := map[string]bool{`"fmt"`: true, `"math"`: true, `"slices"`: true, `"strconv"`: true}
-	for _, name := range []string{"balancer.go", "state.go", "stats.go", "api.go"} {
+	for _, name := range []string{"balancer.go", "state.go", "stats.go", "learned.go", "api.go"} {
 		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
 		if err != nil {
 			t.Fatal(err)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -19,17 +19,18 @@
 	held     []*request          // requests that wait for probes
 
 	byID     map[uint32]*endpoint
-	list     []*endpoint     // known endpoints in the order first heard of
-	cordoned map[uint64]bool // names of endpoints that are left out by hand
-	listed   bool            // discovery has answered since the start
-	pool     []*endpoint     // endpoints with a fresh answer
-	turn     *endpoint       // the cold one that may be sent to next
-	spare    float64         // work that all cold ones together may still get,
-	spareAt  Micros          // as of then
-	chill    ewma            // of the slowness that the least warmth of a cold endpoint makes, the part that shows
-	largest  float64         // share of any listed endpoint
-	asks     float64         // probes that go with a request, while sparse
-	sparse   bool            // probes are asked for single requests
+	known    map[uint64]LearnedEndpoint // by name, until listed
+	list     []*endpoint                // known endpoints in the order first heard of
+	cordoned map[uint64]bool            // names of endpoints that are left out by hand
+	listed   bool                       // discovery has answered since the start
+	pool     []*endpoint                // endpoints with a fresh answer
+	turn     *endpoint                  // the cold one that may be sent to next
+	spare    float64                    // work that all cold ones together may still get,
+	spareAt  Micros                     // as of then
+	chill    ewma                       // of the slowness that the least warmth of a cold endpoint makes, the part that shows
+	largest  float64                    // share of any listed endpoint
+	asks     float64                    // probes that go with a request, while sparse
+	sparse   bool                       // probes are asked for single requests
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -39,6 +39,8 @@
 	Outcome(now balancer.Micros, o balancer.Outcome)
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
+	Learned() balancer.Learned
+	Learn(l *balancer.Learned)
 	Cordon(now balancer.Micros, name uint64, out bool, since balancer.Micros)
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
 	Stats(now balancer.Micros) balancer.Stats
@@ -65,8 +67,10 @@
 	ids       map[string]uint32 // of endpoints, by host name
 	lastEP    uint32            // the latest id given; none is given twice
 	fleet     map[uint32]*member
-	marks     map[string]mark // what operators set, by host name
-	seq       *uint64         // version of the last list, if there was any
+	marks     map[string]mark        // what operators set, by host name
+	learned   *balancer.Learned      // to begin with; may be nil
+	keep      func(balancer.Learned) // takes what is known once a second; may be nil
+	seq       *uint64                // version of the last list, if there was any
 	stopWatch context.CancelFunc
 	stats     balancer.Stats // when last recorded, as are dials
 	dials     upCounts
@@ -124,6 +128,9 @@
 func (l *loop) run() {
 	now := l.clock.now()
 	l.balancer.Start(now)
+	if l.learned != nil {
+		l.balancer.Learn(l.learned)
+	}
 	if len(l.cfg.known.Hosts) > 0 {
 		l.members(now, balancer.ListCached, l.cfg.known)
 	}
@@ -148,6 +155,9 @@
 			event(l.clock.now())
 		case <-prune.C:
 			l.up.prune()
+			if l.keep != nil {
+				l.keep(l.balancer.Learned())
+			}
 		case <-stats.C:
 			l.logStats(l.clock.now())
 		case <-l.ctx.Done():
--- /dev/null
+++ b/internal/sidecar/memory_test.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"peatpost/balancer"
+)
+
+// What a process keeps the next one loads; a file that is old, damaged or another
+// sidecar's is as good as none.
+func TestWhatWasLearnedIsKept(t *testing.T) {
+	dir := t.TempDir()
+	m := newMemory(t.Context(), "n0", dir, slog.New(slog.DiscardHandler))
+	if l := m.load(); l != nil {
+		t.Errorf("without a file: %+v", l)
+	}
+	m.keep(balancer.Learned{Pace: 1.5, Works: []float64{2}})
+	await(t, "the file", func() bool { return m.load() != nil })
+	if l := m.load(); l.Pace != 1.5 || len(l.Works) != 1 {
+		t.Errorf("loaded %+v", l)
+	}
+	path := filepath.Join(dir, memoryFile)
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{
+		"cut short": string(good[:40]), "another sidecar": strings.Replace(string(good), "n0", "n1", 1),
+		"another version": strings.Replace(string(good), `"version":1`, `"version":2`, 1),
+		"old":             strings.Replace(string(good), `"at_ms":1`, `"at_ms":0`, 1),
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if l := m.load(); l != nil {
+			t.Errorf("%s: loaded %+v", name, l)
+		}
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -83,6 +83,10 @@
 			l.post(func(balancer.Micros) { l.reload(next) })
 		}
 	}()
+	if cfg.Passed != "" { // another process may take over
+		m := newMemory(loopCtx, cfg.Name, os.TempDir(), log)
+		l.learned, l.keep = m.load(), m.keep
+	}
 	s := newServer(l)
 	if second != nil {
 		a := newAdmin(s)
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -109,16 +109,7 @@
 
 func (s *store) load() (state, os.FileInfo, error) {
 	var st state
-	file, err := os.Open(s.path())
-	if err != nil {
-		return st, nil, err
-	}
-	defer file.Close()
-	info, err := file.Stat()
-	if err != nil {
-		return st, nil, err
-	}
-	text, err := io.ReadAll(io.LimitReader(file, stateMost))
+	text, info, err := readFile(s.path())
 	if err != nil {
 		return st, info, err
 	}
@@ -142,20 +133,42 @@
 	if err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
-	file, err := os.CreateTemp(s.dir, stateFile+".*")
-	if err != nil {
+	if err := replaceFile(s.path(), text); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
+	s.file, _ = os.Stat(s.path()) // unknown, it is read once more
+	return nil
+}
+
+// readFile reads a small file, and tells which one it was.
+func readFile(path string) ([]byte, os.FileInfo, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return nil, nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(file, stateMost))
+	return text, info, err
+}
+
+// replaceFile puts a file in place of another at once: nobody reads a part of it.
+func replaceFile(path string, text []byte) error {
+	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
 	_, err = file.Write(text)
 	if err = errors.Join(err, file.Close()); err == nil {
-		err = os.Rename(file.Name(), s.path())
+		err = os.Rename(file.Name(), path)
 	}
 	if err != nil {
 		os.Remove(file.Name())
-		return fmt.Errorf("state: %w", err)
 	}
-	s.file, _ = os.Stat(s.path()) // unknown, it is read once more
-	return nil
+	return err
 }
 
 // lock keeps the other process from writing until the function that it returns is
