--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -16,7 +16,7 @@
 		now := Micros(id) * 50_000
 		old.Request(now, request0(id+1, 0, now))
 		for _, p := range r.probes {
-			old.Probed(now, p, OK, 5000, []float32{1})
+			old.Probed(now, p, OK, 5000, []float32{float32((id/8 + uint64(p)) % 4)})
 		}
 		s := r.sends[len(r.sends)-1]
 		took := 100_000 + 1000*Micros(s.endpoint)
