Let the connection that was silent for longest make room, so that slow clients stay

Beyond the limit of 80 connections the one accepted first went, and a client that takes 2 s for a request is that.

To blame: clients.admit, which went by the time of accepting. Each byte now counts; idle and half-written connections from which nothing comes go first.

Ruled out: the time for a head, 2.5 s, and descriptors, 138 of 192.

Test: TestSlowClientOutlastsSilentOnes, in which the slow one went first before.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -21,12 +21,12 @@
 	mu      sync.Mutex
 	open    int
 	asked   int       // of those, the ones that a request has come on
-	waiting list.List // of *clientConn, with no request open; the longest without one first
+	waiting list.List // of *clientConn, with no whole request; the longest without a byte first
 }
 
-// Accept returns the next connection. Beyond the limit the connection that has
-// waited longest for a request makes room; where all have one open, the new one
-// is closed.
+// Accept returns the next connection. Beyond the limit the one that has been silent
+// for longest makes room, whether idle or half-way through a request: a slow client
+// goes on writing. Where all have a request open, the new one is closed.
 func (l *clients) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -78,6 +78,16 @@
 	return l.open
 }
 
+// heard marks that a connection was not silent just now.
+func (l *clients) heard(c *clientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.place != nil {
+		c.since = time.Now()
+		l.waiting.MoveToBack(c.place)
+	}
+}
+
 // sweep has connections end that have had no request open for so long: those that
 // requests came on for quiet, others for silent. A request that crosses is taken.
 func (l *clients) sweep(quiet, silent time.Duration) {
@@ -100,7 +110,7 @@
 	net.Conn
 	owner *clients
 	place *list.Element // in owner.waiting; nil while a request is open
-	since time.Time     // it waits
+	since time.Time     // it has waited without a byte
 	asked bool          // a request has come on it
 	left  bool          // no longer counted
 
@@ -192,6 +202,9 @@
 		c.mu.Lock()
 		c.head.scan(p[:n])
 		c.mu.Unlock()
+		if n > 0 {
+			c.owner.heard(c)
+		}
 		return n, err
 	}
 }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -431,3 +431,47 @@
 		t.Errorf("woken by net/http: read %q, %v", got, err)
 	}
 }
+
+// Beyond the limit it is silence that makes room: a client that writes slowly goes
+// on, though it came before the others.
+func TestSlowClientOutlastsSilentOnes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &clients{Listener: listener, most: 3}
+	defer l.Close()
+	pair := func() (net.Conn, net.Conn) {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		client.SetDeadline(time.Now().Add(patience))
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client, c
+	}
+	write := func(client, c net.Conn) error {
+		io.WriteString(client, "GET")
+		_, err := c.Read(make([]byte, 3))
+		return err
+	}
+	slow, c := pair()
+	half, h := pair()
+	silent, _ := pair()
+	if err := write(half, h); err != nil {
+		t.Fatal(err)
+	}
+	for i, goes := range []net.Conn{silent, half} {
+		if err := write(slow, c); err != nil {
+			t.Fatalf("the slow client, piece %d: %v", i, err)
+		}
+		pair()
+		if _, err := goes.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("connection %d that should make room: %v", i, err)
+		}
+	}
+}
