Share one sidecar's limits between two processes, and leave clients to the one that serves

Design: every process locks a file of its own in the shared folder, and writes there that it serves. With company each has an even part of connections, body room and heap, and closes what is idle beyond it. A new process accepts once it has a list.

Not taken: a count in the state file, which a killed process would leave behind.

Tests: handover_test.go, and a process that never becomes ready in cmd/pinedale.

--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"peatpost/internal/sidecar"
@@ -34,9 +33,6 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	// The heap stays under the limit at which the platform kills the process,
-	// with room for what the runtime does not count.
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -228,3 +228,54 @@
 		t.Errorf("the second process ended with %v, want exit code 0", err)
 	}
 }
+
+// A second process that never becomes ready takes no client from the first.
+func TestProcessThatIsNeverReadyTakesNobody(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	file, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	shared := t.TempDir()
+	launch := func(text string) (health func() int) {
+		second := freeAddress(t)
+		cmd := command(t, text)
+		cmd.ExtraFiles = []*os.File{file}
+		cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "BALANCER_ADMIN_ADDR="+second, "TMPDIR="+shared)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			cmd.Process.Kill()
+			cmd.Wait()
+		})
+		return func() int { return code("http://" + second + "/admin/health") }
+	}
+	first := launch(config("127.0.0.1:1"))
+	await(t, "the first process to be ready", func() bool { return first() == http.StatusOK })
+	known := config("127.0.0.1:1")
+	from, to := strings.Index(known, `[{"host"`), strings.Index(known, `]},`)
+	second := launch(known[:from+1] + known[to:])
+	await(t, "the second process to answer", func() bool { return second() == http.StatusServiceUnavailable })
+	for i := range 200 {
+		if got := code("http://" + held.Addr().String() + "/health/ready"); got != http.StatusOK {
+			t.Fatalf("connection %d: %d", i, got)
+		}
+	}
+}
+
+// code makes a call on a connection of its own; 0 is no answer.
+func code(url string) int {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -62,6 +62,18 @@
 	return old, true
 }
 
+// limit sets the most connections, and has silent ones beyond that end.
+func (l *clients) limit(most, mostAsked int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most, l.mostAsked = most, mostAsked
+	over := l.open - most
+	for e := l.waiting.Front(); e != nil && over > 0; e = e.Next() {
+		e.Value.(*clientConn).expire()
+		over--
+	}
+}
+
 // crowded says that so many connections have been asked on that answers should
 // end theirs. Some clients ask once and keep the connection for good, and clients
 // may hold only so many: kept here, these would leave none for the next request.
--- /dev/null
+++ b/internal/sidecar/handover_test.go
@@ -0,0 +1,89 @@
+package sidecar
+
+import (
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+)
+
+// Processes that share a folder see each other, until they end in whatever way.
+func TestProcessesSeeEachOther(t *testing.T) {
+	dir := t.TempDir()
+	take := func() *seat {
+		s, err := takeSeat(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	check := func(s *seat, alive, ready int) {
+		t.Helper()
+		if a, r := s.others(); a != alive || r != ready {
+			t.Errorf("%d others alive, %d ready, want %d and %d", a, r, alive, ready)
+		}
+	}
+	first := take()
+	check(first, 0, 0)
+	if err := first.ready(); err != nil {
+		t.Fatal(err)
+	}
+	second := take()
+	check(first, 1, 0)
+	check(second, 1, 1)
+	first.file.Close() // as the end of its process does
+	check(second, 0, 0)
+	third := take() // sits where the first did, and is not ready for that
+	check(second, 1, 0)
+	for range seatMost - 2 {
+		take()
+	}
+	if _, err := takeSeat(dir); err == nil || !strings.Contains(err.Error(), dir) {
+		t.Errorf("one too many: %v", err)
+	}
+	third.file.Close()
+	if _, err := takeSeat(dir + "/none"); !os.IsNotExist(err) {
+		t.Errorf("without a folder: %v", err)
+	}
+}
+
+// Two processes have the limits of one sidecar between them, and the one that stays
+// has them whole again. What is idle beyond its part is closed.
+func TestProcessesShareTheLimits(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	w.until("other connections to end", func() bool { return w.server.clients.count() == 0 })
+	whole, room := w.server.clients.most, w.loop.up.room.most.Load()
+	dir := t.TempDir()
+	var err error
+	if w.server.seat, err = takeSeat(dir); err != nil {
+		t.Fatal(err)
+	}
+	for range whole {
+		w.dial()
+	}
+	w.until("all room to be taken", func() bool { return w.server.clients.count() == whole })
+	other, err := takeSeat(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go w.server.company(t.Context(), slog.New(slog.DiscardHandler))
+	half := (w.loop.cfg.Limits.Sockets/2 - socketSpare) / 2
+	w.until("connections beyond its part to end", func() bool { return w.server.clients.count() == half })
+	w.until("the part", func() bool { return w.loop.up.room.most.Load() == room/2 })
+	if !w.server.accompanied() || w.server.relieved() {
+		t.Error("the other process is not seen, or taken for ready")
+	}
+	if err := other.ready(); err != nil {
+		t.Fatal(err)
+	}
+	if !w.server.relieved() {
+		t.Error("the other process is not seen to be ready")
+	}
+	other.file.Close()
+	w.until("the limits to be whole again", func() bool {
+		w.server.clients.mu.Lock()
+		defer w.server.clients.mu.Unlock()
+		return w.server.clients.most == whole && w.loop.up.room.most.Load() == room
+	})
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -53,6 +53,7 @@
 	ids map[string]bool // X-Correlation-Id of the requests in hand
 
 	acceptFor time.Duration // after SIGTERM
+	seat      *seat         // among the processes of this sidecar; nil where there can be no other
 }
 
 // Run serves until ctx ends, then answers what it has taken and returns. New
@@ -88,6 +89,14 @@
 		l.learned, l.keep = m.load(), m.keep
 	}
 	s := newServer(l)
+	s.share(1)
+	if cfg.Passed != "" {
+		if s.seat, err = takeSeat(os.TempDir()); err != nil {
+			log.Warn("other processes of this sidecar are not seen", "error", err)
+		} else {
+			go s.company(loopCtx, log)
+		}
+	}
 	if second != nil {
 		a := newAdmin(s)
 		a.load()
@@ -100,12 +109,21 @@
 // every client's request has one attempt at a time.
 func connections(cfg *Config) int { return (cfg.Limits.Sockets - socketSpare) / 2 }
 
+// leastConnections are left to each of two processes, however few descriptors there are.
+const leastConnections = 12
+
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	s.clients.Listener = listener
 	go s.loop.run()
 	go s.usher()
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(s.clients) }()
+	go func() {
+		// A process that takes over leaves clients to the other one until it can serve them.
+		for s.accompanied() && !s.loop.listed.Load() && ctx.Err() == nil {
+			time.Sleep(sweepEvery)
+		}
+		served <- s.http.Serve(s.clients)
+	}()
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
@@ -140,6 +158,24 @@
 	return s
 }
 
+// accompanied says whether another process of this sidecar runs.
+func (s *server) accompanied() bool {
+	if s.seat == nil {
+		return false
+	}
+	alive, _ := s.seat.others()
+	return alive > 0
+}
+
+// relieved says whether another process serves the clients that come from now on.
+func (s *server) relieved() bool {
+	if s.seat == nil {
+		return false
+	}
+	_, ready := s.seat.others()
+	return ready > 0
+}
+
 // leaving says that clients are to go elsewhere: every answer ends its connection.
 func (s *server) leaving() bool { return s.ending.Load() || s.drained.Load() }
 
@@ -160,10 +196,13 @@
 }
 
 // drain ends the service without losing a request. Every answer from here on
-// closes its connection, and so does silence; new ones come for a while.
+// closes its connection, and so does silence; new ones come for a while, unless
+// another process takes them.
 func (s *server) drain() error {
 	s.ending.Store(true)
-	time.Sleep(s.acceptFor)
+	if !s.relieved() {
+		time.Sleep(s.acceptFor)
+	}
 	if err := s.clients.Listener.Close(); err != nil {
 		return fmt.Errorf("stop accepting: %w", err)
 	}
@@ -172,7 +211,8 @@
 		longest = max(longest, c.GiveUp)
 	}
 	end := time.Now().Add(time.Duration(longest) * time.Microsecond)
-	for s.clients.count() > 0 && time.Now().Before(end) {
+	// The first wait is for a connection that is being accepted just now.
+	for time.Sleep(sweepEvery); s.clients.count() > 0 && time.Now().Before(end); {
 		time.Sleep(sweepEvery)
 	}
 	s.http.Close()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -285,6 +285,20 @@
 	return nil, nil
 }
 
+// limit sets the most connections, and closes idle ones beyond that.
+func (u *upstream) limit(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = most
+	for t, list := range u.idle {
+		for len(list) > 0 && u.open > most {
+			u.drop(list[0])
+			list = list[1:]
+		}
+		u.idle[t] = list
+	}
+}
+
 // drop closes a connection. It holds u.mu.
 func (u *upstream) drop(c *conn) {
 	c.Close()
