--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -125,9 +125,10 @@
 	io.WriteString(w, "ok\n")
 }
 
-// health says whether this process is ready to serve.
+// health says whether this process is ready to serve. A drain by hand does not count:
+// a process that takes over in one must be found ready, too.
 func (a *admin) health(*http.Request) error {
-	if !a.server.isReady() {
+	if a.server.ending.Load() || !a.server.loop.listed.Load() {
 		return &refusal{http.StatusServiceUnavailable, "not ready"}
 	}
 	return nil
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -334,6 +334,9 @@
 		if got := front(); got != 503 {
 			t.Errorf("readiness in the drain: %d", got)
 		}
+		if got := status(t, "GET", address, "/admin/health"); got != 200 {
+			t.Errorf("health in the drain: %d", got)
+		}
 	}
 	// New connections still come, with one request each.
 	late := w.dial()
