Let a cold endpoint's turn pass to another where it is not sent to

One sidecar refused 53% to 87% for eight seconds with seven of nine endpoints cold, and sent them 0 to 2 of 46 to 100 requests in two seconds. Told with each refusal, the cold one whose turn it was would take 87 to 191 ms, with three or four requests of others there or in a far zone, limit 57 to 106; it stayed the one, and the room for cold ones grew to 4114 ms of work unused.

To blame: earn, which gives the turn to the one that got least, and that one got nothing.

Ruled out: the room itself, what had been learned, breakers, the share by warmth shown.

Design: what comes in beyond the bucket's limit is counted as got by the one whose turn it is, so that the turn moves on at the pace of the room. Nobody gets more in sum.

Not taken: letting every cold endpoint compete within the room, which needs a limit for each beside the one for all.

Test: TestColdEndpointLetsItsTurnPass, 0 sends before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -337,7 +337,7 @@
 		// How slow they show to be tells more than the least warmth, which none needs to keep to.
 		warmth := min(believed*o.warmth(now, b), max(o.warmth(now, b), 1/o.slowed(now, b)))
 		cold += warmth
-		if got := (o.taken + work) / warmth * share(!o.owed); b.turn == nil || got < least {
+		if got := (o.taken + work) / warmth * share(!o.owed || o.heardAt == 0); b.turn == nil || got < least {
 			b.turn, least = o, got
 		}
 	}
@@ -347,8 +347,12 @@
 	}
 	fill := min(1, coldShare*b.s.Contract.FallMultiple) * cold * rate / max(1, warm)
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
-	b.spare = min(most, b.spare+fill*float64(now-b.spareAt)/float64(second))
-	b.spareAt = now
+	b.spare += fill * float64(now-b.spareAt) / float64(second)
+	if b.turn != nil && b.spare > most {
+		// It lets its turn pass: busy or far away, it would keep all others from theirs.
+		b.turn.taken += b.spare - most
+	}
+	b.spare, b.spareAt = min(most, b.spare), now
 }
 
 func (b *Balancer) askIn(now, delay Micros) {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -927,3 +927,34 @@
 		t.Errorf("slow ones get %v, at first %v", slow, least)
 	}
 }
+
+// A cold endpoint that is too busy or too far away to be sent to does not keep the other cold ones from their turn.
+func TestColdEndpointLetsItsTurnPass(t *testing.T) {
+	s := testSettings()
+	s.Balancers = 1
+	b, r := start(t, s, ready(1))
+	now := Micros(0)
+	b.sentWork = meter{10_000_000, now}
+	b.Members(now, ListDelta, []Endpoint{{ID: 2, Share: 1, StartTime: 1}, {ID: 3, Share: 1, StartTime: 1}})
+	got := map[uint32]int{}
+	for id := range uint64(200) {
+		now += 20_000
+		b.sentWork = meter{10_000_000, now} // the same throughout: what is refused must not count
+		for e, load := range []float32{40, 40, 0} {
+			b.Probed(now, uint32(e+1), OK, 1000, []float32{load})
+		}
+		sends := len(r.sends)
+		b.Request(now, request0(id+1, 0, now))
+		for _, s := range r.sends[sends:] {
+			got[s.endpoint]++
+			o := Outcome{ID: s.id, Endpoint: s.endpoint, Status: OK, Latency: 80_000, Settled: true}
+			if s.endpoint != 3 {
+				o.Status, o.Latency = Timeout, second
+			}
+			b.Outcome(now, o)
+		}
+	}
+	if got[3] < 20 {
+		t.Errorf("sends by endpoint %v, want many at the third, which is idle", got)
+	}
+}
