Give a small request 2.6 s in all, however slowly its body comes

Told by a trace of half-written connections that end: bodies of 600 to 1200 bytes that come over 1 to 2 s, each ended by the limit of 0.9 s behind 32 kB a second; those that made room for others had been silent for 0.9 to 1.5 s and had not finished a head.

Ruled out: eviction, the limit on heads, descriptors (133 of 192).

To blame: newPaced, which timed a small body by a pace that large ones have.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &clientConn{Conn: raw, owner: l}
+		c := &clientConn{Conn: raw, owner: l, begun: time.Now()}
 		if old, ok := l.admit(c); ok {
 			if old != nil {
 				old.Conn.Close()
@@ -128,6 +128,7 @@
 
 	mu      sync.Mutex // net/http reads on while a handler runs
 	head    headScan
+	begun   time.Time // of the request that is being read: of the first one with the connection
 	readBy  time.Time // the deadline that net/http has set
 	expired bool      // it is to end unless something has come
 }
@@ -212,6 +213,9 @@
 			continue
 		}
 		c.mu.Lock()
+		if c.begun.IsZero() {
+			c.begun = time.Now()
+		}
 		c.head.scan(p[:n])
 		c.mu.Unlock()
 		if n > 0 {
@@ -244,7 +248,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	alone := length >= 0 && c.head.size == c.head.end+length
-	c.head = headScan{}
+	c.head, c.begun = headScan{}, time.Time{}
 	return alone
 }
 
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -11,16 +11,17 @@
 )
 
 const (
-	holdMost   = 64 << 10               // bytes of a body that is held whole; of a larger one, the first
-	holdFor    = 20 * time.Millisecond  // an answer of unknown length is held at most, once it has begun
-	restStall  = 5 * time.Second        // without a byte of an answer that is passed on, until it is given up
-	pieceMost  = 32 << 10               // bytes passed on at a time
-	pieceTime  = 10 * time.Second       // for a client to take one: it may read 64 kB a second,
-	bodyGrace  = 900 * time.Millisecond // a client may be behind bodyLeast in writing a body
-	bodyLeast  = 32 << 10               // bytes a second: slow ones write twice that
-	passMost   = 10 * time.Minute       // for a body to come, where it is passed on meanwhile
-	lingerMost = 2 * time.Second        // for a client that is turned away unheard to write on
-	sendBuffer = 128 << 10              // and that much must not take longer to leave the socket
+	holdMost   = 64 << 10                // bytes of a body that is held whole; of a larger one, the first
+	holdFor    = 20 * time.Millisecond   // an answer of unknown length is held at most, once it has begun
+	restStall  = 5 * time.Second         // without a byte of an answer that is passed on, until it is given up
+	pieceMost  = 32 << 10                // bytes passed on at a time
+	pieceTime  = 10 * time.Second        // for a client to take one: it may read 64 kB a second,
+	smallMost  = 2600 * time.Millisecond // for a request that is small, however slowly it comes; of a larger body,
+	bodyGrace  = 900 * time.Millisecond  // a client may be so far behind bodyLeast
+	bodyLeast  = 32 << 10                // bytes a second: slow ones write twice that
+	passMost   = 10 * time.Minute        // for a body to come, where it is passed on meanwhile
+	lingerMost = 2 * time.Second         // for a client that is turned away unheard to write on
+	sendBuffer = 128 << 10               // and that much must not take longer to leave the socket
 )
 
 // budget bounds the memory that bodies may take, over all requests and answers.
@@ -111,20 +112,30 @@
 // pieces are the buffers in which bodies are passed on.
 var pieces = sync.Pool{New: func() any { return new([pieceMost]byte) }}
 
-// paced reads a client's body, within a limit on its size and on how far it may
-// fall behind the pace of a slow client. Only the time spent waiting for it counts.
+// paced reads a client's body, within a limit on its size and on the time: that for
+// any request, or how far it may fall behind the pace of a slow client, of which only
+// the time spent waiting for it counts.
 type paced struct {
 	conn      *clientConn
 	body      io.Reader
+	small     time.Time
 	allowance time.Duration
 	left      int64
 }
 
-func newPaced(c *clientConn, body io.Reader) *paced { return &paced{c, body, bodyGrace, bodyMost} }
+func newPaced(c *clientConn, body io.Reader) *paced {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &paced{c, body, c.begun.Add(smallMost), bodyGrace, bodyMost}
+}
 
 func (p *paced) Read(b []byte) (int, error) {
 	began := time.Now()
-	p.conn.SetReadDeadline(began.Add(p.allowance))
+	until := began.Add(p.allowance)
+	if p.small.After(until) {
+		until = p.small
+	}
+	p.conn.SetReadDeadline(until)
 	n, err := p.body.Read(b)
 	earned := time.Duration(n) * time.Second / bodyLeast
 	p.allowance = min(bodyGrace, p.allowance-time.Since(began)+earned)
