--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -242,9 +242,9 @@
 	}
 	defer file.Close()
 	shared := t.TempDir()
-	launch := func(text string) (health func() int) {
+	launch := func(text string) (cmd *exec.Cmd, health func() int) {
 		second := freeAddress(t)
-		cmd := command(t, text)
+		cmd = command(t, text)
 		cmd.ExtraFiles = []*os.File{file}
 		cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "BALANCER_ADMIN_ADDR="+second, "TMPDIR="+shared)
 		if err := cmd.Start(); err != nil {
@@ -254,19 +254,29 @@
 			cmd.Process.Kill()
 			cmd.Wait()
 		})
-		return func() int { return code("http://" + second + "/admin/health") }
+		return cmd, func() int { return code("http://" + second + "/admin/health") }
 	}
-	first := launch(config("127.0.0.1:1"))
+	_, first := launch(config("127.0.0.1:1"))
 	await(t, "the first process to be ready", func() bool { return first() == http.StatusOK })
 	known := config("127.0.0.1:1")
 	from, to := strings.Index(known, `[{"host"`), strings.Index(known, `]},`)
-	second := launch(known[:from+1] + known[to:])
+	cmd, second := launch(known[:from+1] + known[to:])
 	await(t, "the second process to answer", func() bool { return second() == http.StatusServiceUnavailable })
-	for i := range 200 {
+	ended := make(chan error, 1)
+	for i := range 400 {
+		if i == 200 { // taken back
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			go func() { ended <- cmd.Wait() }()
+		}
 		if got := code("http://" + held.Addr().String() + "/health/ready"); got != http.StatusOK {
 			t.Fatalf("connection %d: %d", i, got)
 		}
 	}
+	if err := <-ended; err != nil {
+		t.Errorf("the second process ended with %v, want exit code 0", err)
+	}
 }
 
 // code makes a call on a connection of its own; 0 is no answer.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -122,7 +122,9 @@
 		for s.accompanied() && !s.loop.listed.Load() && ctx.Err() == nil {
 			time.Sleep(sweepEvery)
 		}
-		served <- s.http.Serve(s.clients)
+		if ctx.Err() == nil {
+			served <- s.http.Serve(s.clients)
+		}
 	}()
 	select {
 	case err := <-served:
@@ -200,17 +202,17 @@
 // another process takes them.
 func (s *server) drain() error {
 	s.ending.Store(true)
+	var longest balancer.Micros
+	for _, c := range s.loop.cfg.Settings.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	end := time.Now().Add(s.acceptFor + time.Duration(longest)*time.Microsecond)
 	if !s.relieved() {
 		time.Sleep(s.acceptFor)
 	}
 	if err := s.clients.Listener.Close(); err != nil {
 		return fmt.Errorf("stop accepting: %w", err)
 	}
-	var longest balancer.Micros
-	for _, c := range s.loop.cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
-	}
-	end := time.Now().Add(time.Duration(longest) * time.Microsecond)
 	// The first wait is for a connection that is being accepted just now.
 	for time.Sleep(sweepEvery); s.clients.count() > 0 && time.Now().Before(end); {
 		time.Sleep(sweepEvery)
