Mend a new test that counted connections before the last one was given back

Seen: TestLargeAnswersPass failed once in four runs of all tests on shared cores, with 2 connections for 1. A client has the last byte of a large answer a little sooner than the endpoint's connection is idle again. The test now waits for that; 40 runs with -race on two cores pass.

--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -49,6 +49,16 @@
 				if got := w.send(w.request("read", "", time.Minute)); got.code != 200 || got.body != body || got.err != nil {
 					t.Errorf("answer %d of %d bytes, %v", got.code, len(got.body), got.err)
 				}
+				// The client has the last byte a little sooner than the endpoint's connection is given back.
+				w.until("the connection to be given back", func() bool {
+					w.loop.up.mu.Lock()
+					defer w.loop.up.mu.Unlock()
+					idle := 0
+					for _, list := range w.loop.up.idle {
+						idle += len(list)
+					}
+					return w.loop.up.open == idle && (idle == 1) == c.reused
+				})
 			}
 			if _, conns := e.seen(); (conns == 1) != c.reused {
 				t.Errorf("%d connections", conns)
