Open a silent watch anew half a second after its wait, in time for the rule on drains

The call was given up at 24.40, the drains came at 25.15, and sends decided in between were written within a millisecond of the decision.

To blame: discovery.go, list, which waits wait+listPatience, 24 s, for any call. The 4 s are meant for calls that wait for their turn at discovery; a call that waits for news has had its turn.

Ruled out: late first bytes (the target is looked at again before each write, and both traces show the write beside the decision); the list's way to the module (applied in the millisecond in which it came); pauses after the failure (0.4 to 0.7 s, after the grace was over already).

A pause of the watch now ends with the watch.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -15,9 +15,15 @@
 
 const (
 	watchWait    = 20 * time.Second // a watch call is held so long without news
-	listPatience = 4 * time.Second  // beyond that: discovery works through calls in turn
+	listPatience = 4 * time.Second  // for a call that asks at once: discovery works through calls in turn
 	listMost     = 8 << 20          // bytes of a list
 
+	// What a silent call misses counts as told 2 s after its wait. Without news it is answered
+	// within milliseconds of that, so that one this late is broken, and the rest is left for
+	// another call, its tries and its turn at discovery.
+	toldAfterWait = 2 * time.Second
+	watchPatience = toldAfterWait / 4
+
 	// A watch ends when its next call comes later than 200 ms after the last
 	// answer; calls without any pause could become a flood.
 	watchPause = 20 * time.Millisecond
@@ -89,7 +95,11 @@
 // list makes one call. With after it asks for what is newer than that version,
 // which may be 0, and waits for news as long as wait; without, for the whole list.
 func (d *discovery) list(ctx context.Context, after *uint64, wait time.Duration) (registry, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+listPatience)
+	patience := listPatience
+	if wait > 0 {
+		patience = wait + watchPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	url := d.url
 	if after != nil {
@@ -138,6 +148,16 @@
 			kind = balancer.ListFull
 		}
 		tell(kind, list)
-		time.Sleep(watchPause)
+		pause(ctx, watchPause)
+	}
+}
+
+// pause waits for a while, but not beyond ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -473,7 +473,7 @@
 			if l.cfg.Settings.Subscribe {
 				return // when to ask again is the balancer's decision
 			}
-			time.Sleep(pushedPause)
+			pause(ctx, pushedPause)
 		}
 	}()
 }
