Keep what is sound of a list with an entry that can't be used

One entry that could not be read or used cost the whole answer of discovery: the call counted as failed, and the drains in the same list, which count as told once they are written, never reached the balancer, in any of the calls that followed. To blame: discovery.go, validate, and one json.Unmarshal for all entries.

Entries are now read one by one, and those that can't be used are logged with their number and the first fault. The configuration's own list is read in the same way, so that what a sidecar was told while it ran does not keep it from starting.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -89,7 +89,7 @@
 		Admin     string          `json:"admin_addr"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     registry        `json:"known"`
+		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
@@ -110,11 +110,13 @@
 	if file.Limits.Sockets < leastSockets {
 		return nil, fmt.Errorf("limits.sockets: %d is under %d", file.Limits.Sockets, leastSockets)
 	}
-	if err := file.Known.validate(); err != nil {
-		return nil, fmt.Errorf("known: %w", err)
-	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin,
-		Seed: seed, Limits: file.Limits, known: file.Known}
+		Seed: seed, Limits: file.Limits}
+	if len(file.Known) > 0 && string(file.Known) != "null" {
+		if err := json.Unmarshal(file.Known, &cfg.known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
 	if err := cfg.readSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -272,6 +272,9 @@
 		return
 	}
 	l.seq = &list.Seq
+	if list.lost > 0 {
+		l.log.Warn("entries of discovery's list can't be used", "lost", list.lost, "of", len(list.Hosts), "first", list.fault)
+	}
 	entries := make([]balancer.Endpoint, 0, len(list.Hosts))
 	named := map[uint32]bool{}
 	for _, h := range list.Hosts {
