Tell older and spoilt answers of discovery from good ones, and how old the list is

An answer with a lower version than the list held replaced it, drains and all: a test on a fake clock sees an endpoint that was told to drain get requests again as soon as an older list comes. Changes that came where the whole list was asked for were applied to nothing. To blame: discovery.go, watch, which took any version, and loop.go, members.

An older version is now a failed call, and the next asks for the whole list; after four times ask-within without a list, or 3 s after SIGHUP, it is taken for a new numbering, and what was told to drain still gets nothing. An answer that can't be used is asked for once more at once. The lines of failed calls come once a second at most.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -29,6 +29,12 @@
 	toldAfterWait = 2 * time.Second
 	watchPatience = toldAfterWait / 4
 
+	// A discovery that has lost its versions begins to count anew. An older version is not
+	// believed for as long as a failed call stands for its watch, or, after SIGHUP, for most
+	// of the time in which a new address has to be followed.
+	olderPeriods = 4 // of ask-within
+	olderMoved   = 3 * time.Second
+
 	// A watch ends when its next call comes later than 200 ms after the last
 	// answer; calls without any pause could become a flood.
 	watchPause = 20 * time.Millisecond
@@ -141,10 +147,20 @@
 	client   http.Client
 	patience time.Duration // with a call that asks at once
 	rest     time.Duration // after a failure, about, where lists are pushed
+	older    time.Duration // without a list, until an older version is taken for a new numbering
 }
 
+// spoiltError is an answer that can't be used. What it should have told counts as told.
+type spoiltError struct{ error }
+
+func (e *spoiltError) Unwrap() error { return e.error }
+
+// errOlder is an answer of a version older than what is held.
+var errOlder = errors.New("older than the list that is held")
+
 func newDiscovery(cfg *Config) *discovery {
 	d := &discovery{url: "http://" + cfg.Discovery + "/registry/instances", patience: listPatience,
+		older:  olderPeriods * time.Duration(cfg.Settings.Contract.AskWithin) * time.Microsecond,
 		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DialContext: cfg.dial}}}
 	if !cfg.Settings.Subscribe {
 		d.patience, d.rest = pushedTimes(time.Duration(cfg.Settings.Contract.DrainGrace) * time.Microsecond)
@@ -183,32 +199,49 @@
 		return list, fmt.Errorf("discovery answered %s", response.Status)
 	}
 	if len(body) > listMost {
-		return list, fmt.Errorf("discovery's answer is over %d bytes", listMost)
+		return list, &spoiltError{fmt.Errorf("discovery's answer is over %d bytes", listMost)}
 	}
 	if err := json.Unmarshal(body, &list); err != nil {
-		return list, fmt.Errorf("discovery's answer: %w", err)
+		return list, &spoiltError{fmt.Errorf("discovery's answer: %w", err)}
+	}
+	if after == nil && !list.Whole {
+		return list, &spoiltError{errors.New("discovery's answer: changes, where the whole list was asked for")}
 	}
 	return list, nil
 }
 
-// watch reports what discovery tells until a call fails, which it reports too.
-// The first call does not wait for news: its answer is the balancer's sign that
-// the watch has begun. After is the version to go on from, nil if there was no
-// list yet; so is what it returns.
-func (d *discovery) watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, registry)) (*uint64, error) {
-	for wait := time.Duration(0); ; wait = watchWait {
-		list, err := d.list(ctx, after, wait)
-		if err != nil {
-			tell(balancer.ListFailed, registry{})
-			return after, err
+// position is what a watch goes on from.
+type position struct {
+	after  *uint64   // the version to ask for what is newer than; nil: for the whole list
+	newest uint64    // that is held
+	settle time.Time // from then on an older one is taken for a new numbering
+}
+
+// watch reports what discovery tells until a call fails. The first call does not wait
+// for news: its answer is the balancer's sign that the watch has begun. An answer that
+// can't be used is asked for once more before that counts as a failure.
+func (d *discovery) watch(ctx context.Context, from position, heard func(registry), spoilt func(error)) error {
+	repeated := false
+	for wait := time.Duration(0); ; pause(ctx, watchPause) {
+		list, err := d.list(ctx, from.after, wait)
+		if err == nil && list.Seq < from.newest {
+			if from.after = nil; !list.Whole || time.Now().Before(from.settle) {
+				err = &spoiltError{fmt.Errorf("discovery's answer: version %d is %w, %d", list.Seq, errOlder, from.newest)}
+			}
 		}
-		after = &list.Seq
-		kind := balancer.ListDelta
-		if list.Whole {
-			kind = balancer.ListFull
+		var bad *spoiltError
+		if errors.As(err, &bad) && !repeated {
+			spoilt(err)
+			repeated, wait = true, 0
+			pause(ctx, jittered(agentPause))
+			continue
+		}
+		if err != nil {
+			return err
 		}
-		tell(kind, list)
-		pause(ctx, watchPause)
+		heard(list)
+		from = position{&list.Seq, list.Seq, time.Now().Add(d.older)}
+		repeated, wait = false, watchWait
 	}
 }
 
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -123,7 +123,7 @@
 				var seq uint64
 				w.until("the list", func() bool {
 					w.do(func() {
-						aims, seq = nil, *w.loop.seq
+						aims, seq = nil, w.loop.from.newest
 						for name, id := range w.loop.ids {
 							if w.loop.fleet[id].target != nil {
 								aims = append(aims, name)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +17,7 @@
 	urgentMost = 16   // the same of those that go first
 	pruneEvery = time.Second
 	statsEvery = 2 * time.Second
+	missEvery  = time.Second // lines on failures of discovery, where one follows the other
 )
 
 // clock gives the balancer's time: microseconds that never run backwards, from
@@ -70,10 +73,15 @@
 	marks     map[string]mark        // what operators set, by host name
 	learned   *balancer.Learned      // to begin with; may be nil
 	keep      func(balancer.Learned) // takes what is known once a second; may be nil
-	seq       *uint64                // version of the last list, if there was any
+	from      position               // of the watch
+	heard     balancer.Micros        // when discovery answered last, or the start
+	calls     callCounts             // of discovery
+	unheard   bool                   // the last call failed
+	warned    balancer.Micros        // of such a failure
 	stopWatch context.CancelFunc
-	stats     balancer.Stats // when last recorded, as are dials
+	stats     balancer.Stats // when last recorded, as are dials and asked
 	dials     upCounts
+	asked     callCounts
 	lag       time.Duration // longest wait of an event since then
 }
 
@@ -127,6 +135,7 @@
 // run handles events until the loop's context ends.
 func (l *loop) run() {
 	now := l.clock.now()
+	l.heard = now
 	l.balancer.Start(now)
 	if l.learned != nil {
 		l.balancer.Learn(l.learned)
@@ -170,11 +179,11 @@
 func (l *loop) logStats(now balancer.Micros) {
 	stats, up := l.balancer.Stats(now), l.up.counts()
 	if stats.Requests != l.stats.Requests {
-		l.log.Info("counts", "of", stats.Since(&l.stats), "dials", up.dials-l.dials.dials,
+		l.log.Info("counts", "of", stats.Since(&l.stats), "list_age_ms", (now-l.heard)/1000, "list_seq", l.from.newest, "calls", l.calls.since(l.asked), "dials", up.dials-l.dials.dials,
 			"dial_ms", (up.dialTime-l.dials.dialTime).Milliseconds()/int64(max(1, up.dials-l.dials.dials)),
 			"dial_failed", up.failed-l.dials.failed, "no_connection", up.full-l.dials.full, "connections", up.open, "lag_ms", float64(l.lag.Microseconds())/1000)
 	}
-	l.stats, l.dials, l.lag = stats, up, 0
+	l.stats, l.dials, l.asked, l.lag = stats, up, l.calls, 0
 }
 
 // post hands an event to the loop. It must not be called from the loop.
@@ -267,11 +276,8 @@
 
 // members passes on a list and brings the targets in line with it.
 func (l *loop) members(now balancer.Micros, kind balancer.ListKind, list registry) {
-	if kind == balancer.ListFailed {
-		l.balancer.Members(now, kind, nil)
-		return
-	}
-	l.seq = &list.Seq
+	older := list.Seq < l.from.newest
+	l.from = position{&list.Seq, list.Seq, l.clock.time(now).Add(l.disc.older)}
 	if list.lost > 0 {
 		l.log.Warn("entries of discovery's list can't be used", "lost", list.lost, "of", len(list.Hosts), "first", list.fault)
 	}
@@ -287,6 +293,9 @@
 			id = l.lastEP
 			l.ids[h.Name], l.fleet[id] = id, &member{name: h.Name}
 		}
+		if e := l.fleet[id]; older && e.last.Health == "Terminating" && e.last.BornMS == h.BornMS {
+			h.Health = e.last.Health // what was told is not undone by what may be older
+		}
 		named[id] = true
 		e := balancer.Endpoint{ID: id, Name: hashed(h.Name), Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
 			Cell: h.Block, State: states[h.Health], Share: h.Share}
@@ -458,37 +467,96 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	seq, disc := l.seq, l.disc
-	tell := func(kind balancer.ListKind, list registry) {
+	from, disc := l.from, l.disc
+	tell := func(event func(now balancer.Micros)) {
 		l.post(func(now balancer.Micros) {
 			if ctx.Err() == nil { // else the watch was ended meanwhile
-				l.members(now, kind, list)
+				event(now)
 			}
 		})
 	}
+	heard := func(list registry) {
+		tell(func(now balancer.Micros) { l.hear(now, list) })
+	}
+	spoilt := func(err error) {
+		tell(func(now balancer.Micros) { l.miss(now, err) })
+	}
 	go func() {
 		for ctx.Err() == nil {
-			var err error
-			seq, err = disc.watch(ctx, seq, tell)
-			if ctx.Err() == nil {
-				l.log.Warn("discovery", "error", err)
-			}
+			err := disc.watch(ctx, from, heard, spoilt)
+			next := make(chan position, 1)
+			tell(func(now balancer.Micros) {
+				l.miss(now, err)
+				l.balancer.Members(now, balancer.ListFailed, nil)
+				next <- l.from
+			})
 			if l.cfg.Settings.Subscribe {
 				return // when to ask again is the balancer's decision
 			}
 			pause(ctx, jittered(disc.rest)) // the balancer never asks: the watch begins again by itself
+			select {
+			case from = <-next:
+			case <-ctx.Done():
+			}
 		}
 	}()
 }
 
+// callCounts counts calls of discovery by how they ended, and entries of lists that
+// could not be used.
+type callCounts struct{ answered, silent, failed, spoilt, lost uint64 }
+
+// since tells what was counted since then, and how.
+func (c callCounts) since(old callCounts) string {
+	return fmt.Sprintf("[answered:%d silent:%d failed:%d spoilt:%d lost:%d]", c.answered-old.answered,
+		c.silent-old.silent, c.failed-old.failed, c.spoilt-old.spoilt, c.lost-old.lost)
+}
+
+// hear takes an answer of discovery.
+func (l *loop) hear(now balancer.Micros, list registry) {
+	if l.unheard {
+		l.log.Info("discovery is heard again", "list_age_ms", (now-l.heard)/1000, "seq", list.Seq)
+	}
+	l.unheard, l.heard = false, now
+	l.calls.answered++
+	l.calls.lost += uint64(list.lost)
+	kind := balancer.ListDelta
+	if list.Whole {
+		kind = balancer.ListFull
+	}
+	l.members(now, kind, list)
+}
+
+// miss takes the failure of a call of discovery.
+func (l *loop) miss(now balancer.Micros, err error) {
+	var bad *spoiltError
+	switch {
+	case errors.As(err, &bad):
+		l.calls.spoilt++
+	case errors.Is(err, context.DeadlineExceeded):
+		l.calls.silent++
+	default:
+		l.calls.failed++
+	}
+	if errors.Is(err, errOlder) {
+		l.from.after = nil // its changes since another numbering's version mean nothing
+	}
+	if !l.unheard || now-l.warned >= missEvery.Microseconds() {
+		l.warned = now
+		l.log.Warn("discovery", "error", err, "list_age_ms", (now-l.heard)/1000)
+	}
+	l.unheard = true
+}
+
 // reload takes up what a new configuration may change: where discovery is. Its
-// list is asked for whole, since versions are the old one's. Requests in hand and
+// list is asked for whole, since versions may be the old one's. Requests in hand and
 // what the balancer knows stay.
 func (l *loop) reload(next *Config) {
 	old := l.disc
 	moved := *l.cfg // all else stays
 	moved.Discovery = next.Discovery
-	l.disc, l.seq = newDiscovery(&moved), nil
+	l.disc = newDiscovery(&moved)
+	l.from.after, l.from.settle = nil, time.Now().Add(olderMoved)
 	l.Watch(true)
 	old.client.CloseIdleConnections()
 	l.log.Info("configuration reloaded", "discovery", next.Discovery)
--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -78,6 +81,8 @@
 	fresh chan struct{} // closed: the list has changed
 	deaf  bool          // calls made while it is are never answered
 	turn  time.Duration // that a call waits for its turn
+	words []string      // to answer the next calls with, in place of the list
+	reply string        // the same for the one that is open
 }
 
 func (s *silence) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -87,9 +92,16 @@
 	i, mute := len(s.calls), s.mute
 	s.calls = append(s.calls, asked{at: time.Now(), wait: wait})
 	news := r.FormValue("after") != strconv.FormatUint(s.list.Seq, 10)
-	cut, fresh, deaf, turn := s.cut, s.fresh, s.deaf, s.turn
+	cut, fresh, deaf, turn, words := s.cut, s.fresh, s.deaf, s.turn, ""
+	if len(s.words) > 0 {
+		words, s.words = s.words[0], s.words[1:]
+	}
 	s.mu.Unlock()
 	pause(r.Context(), turn)
+	if words != "" {
+		io.WriteString(w, words)
+		return
+	}
 	if deaf {
 		<-r.Context().Done()
 		return
@@ -112,6 +124,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if wait > 0 && s.reply != "" {
+		io.WriteString(w, s.reply)
+		s.reply = ""
+		return
+	}
 	answer := registry{Seq: s.list.Seq, Hosts: []host{}}
 	if r.FormValue("after") != strconv.FormatUint(s.list.Seq, 10) {
 		answer = s.list
@@ -137,6 +154,20 @@
 	s.deaf = !is
 }
 
+// say has the call that is open answered with these words.
+func (s *silence) say(words string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reply = words
+}
+
+// left counts the spoilt answers that are still to be given.
+func (s *silence) left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.words) + len(s.reply)
+}
+
 // reset ends the connections of all open calls.
 func (s *silence) reset() {
 	s.mu.Lock()
@@ -196,11 +227,15 @@
 
 type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// watching starts a loop that knows the endpoint as ready.
-func watching(t *testing.T, dial dialer, alter func(settings map[string]any)) *loop {
+// watching starts a loop that knows the endpoint as ready, with a seed of its own
+// where one is given.
+func watching(t *testing.T, dial dialer, alter func(settings map[string]any), seed ...uint64) *loop {
 	t.Helper()
 	cfg := configure(t, "127.0.0.1:1", alter, ready("s-1", "127.0.0.1:1"))
 	cfg.known.Seq, cfg.dial = 1, dial
+	for _, own := range seed {
+		cfg.Seed = own
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	l, err := newLoop(ctx, cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -345,3 +380,99 @@
 		})
 	}
 }
+
+// A drain that comes in an answer which can't be used counts as told with it. Nothing
+// says so; the call is repeated in time for the grace.
+func TestSpoiltAnswerIsAskedForAgainInTime(t *testing.T) {
+	for what, words := range map[string]string{
+		"cut short": `{"seq":2,"whole":true,"hosts":[{"host":"s-1","hea`,
+		"not JSON":  "<html>", "no list": `{}`, "another form": `{"seq":2,"whole":true,"hosts":{"s-1":"Terminating"}}`,
+		"unusable":  `{"seq":2,"whole":true,"hosts":[{"host":"s-1","health":"Leaving"}]}`,
+		"older":     `{"seq":0,"whole":true,"hosts":[]}`,
+		"too large": `{"seq":2,"whole":true,"hosts":[],"` + strings.Repeat("x", listMost) + `":1}`,
+	} {
+		for name, alter := range deployments {
+			t.Run(what+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					l, dir := bubble(t, alter)
+					dir.watched()
+					dir.say(words)
+					dir.drain() // the open call's answer is the spoilt one
+					spoiltAt(t, l, dir)
+				})
+			})
+		}
+	}
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("first call, seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dir, dial := newSilence(t)
+				dir.words = []string{`{"seq":2`}
+				dir.drain()
+				spoiltAt(t, watching(t, dial, deployments["asked, grace 0.5 s"], seed), dir)
+			})
+		})
+	}
+}
+
+// spoiltAt waits until the spoilt answer is given, and for what is to follow.
+func spoiltAt(t *testing.T, l *loop, dir *silence) {
+	t.Helper()
+	for dir.left() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	told := time.Now()
+	synctest.Wait()
+	if barred(l, "s-1") {
+		t.Fatal("the answer could be used")
+	}
+	drained(t, l, told)
+	l.post(func(int64) {
+		if l.calls.spoilt == 0 {
+			t.Errorf("calls %+v, want a spoilt one", l.calls)
+		}
+	})
+	synctest.Wait()
+}
+
+// An older list never undoes a drain that a newer one told, and is a failed call. A
+// discovery that has begun to count anew is believed after a while, its drains and
+// those told before.
+func TestOlderListsDoNotUndoDrains(t *testing.T) {
+	const older = `{"seq":1,"whole":true,"hosts":[` +
+		`{"host":"s-1","dial":"127.0.0.1:1","health":"Ready"},{"host":"s-2","dial":"127.0.0.1:1","health":"Ready"}]}`
+	for name, alter := range deployments {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, dir := bubble(t, alter)
+				dir.watched()
+				dir.drain()
+				time.Sleep(time.Second)
+				if !barred(l, "s-1") {
+					t.Fatal("the drain did not arrive")
+				}
+				lost := time.Now()
+				dir.mu.Lock()
+				dir.list.Seq = 0
+				if err := json.Unmarshal([]byte(older), &dir.list); err != nil {
+					t.Error(err)
+				}
+				dir.mu.Unlock()
+				dir.reset()
+				for time.Since(lost) < 30*time.Second { // less than four times ask-within
+					time.Sleep(50 * time.Millisecond)
+					if !barred(l, "s-1") || !barred(l, "s-2") {
+						t.Fatalf("an older list was followed after %v", time.Since(lost))
+					}
+				}
+				for barred(l, "s-2") && time.Since(lost) < time.Minute {
+					time.Sleep(50 * time.Millisecond)
+				}
+				if barred(l, "s-2") || !barred(l, "s-1") {
+					t.Errorf("%v after discovery began anew: what is new is used %v, what drained is not %v",
+						time.Since(lost), !barred(l, "s-2"), barred(l, "s-1"))
+				}
+			})
+		})
+	}
+}
