Leave a quarter of the connections to requests, whatever is probed

To blame: upstream.go, reserve, where a probe has the same right to a connection as a request. Probes now open one only while a quarter is left.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -29,6 +29,7 @@
 	interimMost  = 10                     // interim answers ahead of one that counts
 	figureMost   = 1e6                    // a larger figure in a load report is an error
 	probeTimeout = 400 * time.Millisecond
+	probeSpares  = 4 // one in so many connections is left to requests
 )
 
 // upstream sends requests to endpoints. It does not use http.Transport, which
@@ -90,6 +91,7 @@
 	header http.Header // X-Time-Left-Ms is written for each attempt
 	body   []byte
 	upload *upload // what follows body while it comes; nil where that is all
+	probe  bool    // the sidecar's own
 }
 
 // result is what came of an attempt or a probe.
@@ -134,7 +136,7 @@
 	var start time.Time
 	err := error(errStale)
 	for err == errStale { // nothing has been sent on that connection
-		c, unable := u.connect(ctx, t)
+		c, unable := u.connect(ctx, t, m.probe)
 		if unable != nil {
 			return result{status: unsent(ctx, unable)}
 		}
@@ -190,7 +192,7 @@
 func (u *upstream) probe(ctx context.Context, t *target) result {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address}
+	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address, probe: true}
 	if len(u.fields) > 0 {
 		m.url.Path = "/stats"
 	}
@@ -229,8 +231,8 @@
 }
 
 // connect returns the connection to t that was used last, or opens one.
-func (u *upstream) connect(ctx context.Context, t *target) (*conn, error) {
-	c, err := u.reserve(t)
+func (u *upstream) connect(ctx context.Context, t *target, probe bool) (*conn, error) {
+	c, err := u.reserve(t, probe)
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -252,8 +254,9 @@
 	return c, nil
 }
 
-// reserve returns an idle connection, or none with the right to open one.
-func (u *upstream) reserve(t *target) (*conn, error) {
+// reserve returns an idle connection, or none with the right to open one. Where lists
+// are long, probes alone could hold all that may be open: they leave some to requests.
+func (u *upstream) reserve(t *target, probe bool) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if t.closed {
@@ -267,7 +270,11 @@
 		}
 		u.drop(c)
 	}
-	if u.open >= u.most {
+	most := u.most
+	if probe {
+		most -= most / probeSpares
+	}
+	if u.open >= most {
 		for other, list := range u.idle {
 			if len(list) > 0 {
 				u.idle[other] = list[1:]
@@ -276,7 +283,7 @@
 			}
 		}
 	}
-	if u.open >= u.most {
+	if u.open >= most {
 		u.full++
 		return nil, errFull
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -303,6 +303,28 @@
 	}
 }
 
+// Where lists are long, probes alone could hold every connection that may be open:
+// some are left to requests.
+func TestProbesLeaveConnectionsToRequests(t *testing.T) {
+	u, at := newTestUpstream(t, 8), &target{address: closedAddress(t)}
+	for i, c := range []struct {
+		probe bool
+		most  int
+	}{{true, 6}, {false, 8}} {
+		for u.open < c.most {
+			if _, err := u.reserve(at, c.probe); err != nil {
+				t.Fatalf("%d connections are open, no other one can be: %v", u.open, err)
+			}
+		}
+		if _, err := u.reserve(at, c.probe); err != errFull {
+			t.Errorf("case %d: %d of 8 connections are open, and one more: %v", i, u.open, err)
+		}
+		if r := u.probe(t.Context(), at); r.status != balancer.Moot {
+			t.Errorf("case %d: a probe without a connection: %v", i, r.status)
+		}
+	}
+}
+
 // A send that waited for its connection must not start once its endpoint drains.
 func TestDrainDuringDial(t *testing.T) {
 	e := newEndpoint(t, always(served))
