--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -61,30 +62,37 @@
 	})
 }
 
+// What requests name by a number is bounded by that number's size.
+const (
+	classesMost = math.MaxUint8 + 1
+	tenantsMost = math.MaxUint16 + 1
+)
+
 // count returns the length of a list of objects, each of which must be there.
-func (t *settingsText) count(key string, required bool) int {
+func (t *settingsText) count(key string, required bool, most int64) int {
 	if _, ok := t.pairs[key+".count"]; !ok && required && t.err == nil {
 		t.err = &balancer.SettingError{Key: key + ".count", Value: "", Reason: "is missing"}
 	}
 	n := t.whole(key+".count", 0)
-	if n < 0 || n > 256 {
+	if n < 0 || n > most {
 		if t.err == nil {
-			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10), Reason: "out of range"}
+			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10),
+				Reason: fmt.Sprintf("out of range, 0 to %d", most)}
 		}
 		return 0
 	}
-	for i := range int(n) {
-		found := false
-		for k := range t.pairs {
-			if strings.HasPrefix(k, fmt.Sprintf("%s.%d.", key, i)) {
-				found = true
-				break
+	there := make([]bool, n)
+	for k := range t.pairs {
+		if below, ok := strings.CutPrefix(k, key+"."); ok {
+			number, _, object := strings.Cut(below, ".")
+			if i, err := strconv.ParseUint(number, 10, 32); err == nil && object && int64(i) < n {
+				there[i] = true
 			}
 		}
-		if !found && t.err == nil {
-			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10),
-				Reason: fmt.Sprintf("%s.%d is missing", key, i)}
-		}
+	}
+	if i := slices.Index(there, false); i >= 0 && t.err == nil {
+		t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10),
+			Reason: fmt.Sprintf("%s.%d is missing", key, i)}
 	}
 	return int(n)
 }
@@ -169,7 +177,7 @@
 			s.Fields = append(s.Fields, fieldNames[f])
 		}
 	}
-	for i := range t.count("classes", true) {
+	for i := range t.count("classes", true, classesMost) {
 		at := fmt.Sprintf("classes.%d.", i)
 		for _, key := range [...]string{"target", "give-up", "repeat"} {
 			if _, ok := t.pairs[at+key]; !ok && t.err == nil {
@@ -190,7 +198,7 @@
 			Stream:    t.flag(at+"stream", false),
 		})
 	}
-	for i := range t.count("tenants", false) {
+	for i := range t.count("tenants", false, tenantsMost) {
 		at := fmt.Sprintf("tenants.%d.", i)
 		s.Tenants = append(s.Tenants, balancer.Tenant{
 			Name:      t.pairs[at+"name"],
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"strings"
@@ -286,6 +287,37 @@
 	}
 }
 
+// Lists are as long as the numbers allow by which requests name their items.
+func TestLongSettings(t *testing.T) {
+	const tenants, classes, sidecars = 1 << 16, 1 << 8, 1 << 16
+	var text strings.Builder
+	fmt.Fprintf(&text, "peers-total=%d\nposition=%d\nclasses.count=%d\ntenants.count=%d\n", sidecars, sidecars-1, classes, tenants)
+	for i := range classes {
+		fmt.Fprintf(&text, "classes.%d.name=c%d\nclasses.%d.target=1000\nclasses.%d.give-up=2000\nclasses.%d.repeat=pure\n", i, i, i, i, i)
+	}
+	for i := range tenants {
+		fmt.Fprintf(&text, "tenants.%d.name=t%d\ntenants.%d.share=0.25\n", i, i, i)
+	}
+	s, err := ParseSettings(text.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Tenants) != tenants || s.Tenants[tenants-1].Name != "t65535" || len(s.Classes) != classes ||
+		s.Classes[classes-1].Name != "c255" || s.Balancers != sidecars || s.Position != sidecars-1 {
+		t.Errorf("%d tenants, %d classes, %d sidecars", len(s.Tenants), len(s.Classes), s.Balancers)
+	}
+	if _, err := balancer.New(s, 1, nil); err != nil {
+		t.Errorf("the constructor refuses them: %v", err)
+	}
+	for key, most := range map[string]int{"tenants": tenants, "classes": classes} {
+		short := strings.Replace(text.String(), fmt.Sprintf("%s.count=%d", key, most), fmt.Sprintf("%s.count=%d", key, most+1), 1)
+		var bad *balancer.SettingError
+		if _, err := ParseSettings(short); !errors.As(err, &bad) || bad.Key != key+".count" {
+			t.Errorf("%d %s: %v", most+1, key, err)
+		}
+	}
+}
+
 func TestBadSettings(t *testing.T) {
 	for _, c := range []struct{ old, new, key string }{
 		{"classes.count=2", "classes.count=3", "classes.count"},
