Take a chunked body that breaks off for a broken request, not for a whole one

To blame: server.go, readBody. It took io.ErrUnexpectedEOF for the end of a body without a length, as io.ReadFull makes it of an early end; but net/http's reader of chunks gives the same error where the chunks break off. Such a request was taken for whole and passed to the loop.

Ruled out by reading: bodies with a length (a short one is an error already), larger bodies (upload passes the error on), a broken last chunk (net/http has another error there), retries (an upload that was read from is not sent again).

The test holds back the news that the client is gone, so that the order is the bad one every time; it fails without the change (2 requests at the endpoint), and passes 20 times with -race.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -345,19 +345,24 @@
 
 var tooLarge = fmt.Sprintf("the body is over %d bytes", bodyMost)
 
-// readBody reads a request's body, up to what may be held of it.
+// readBody reads a request's body, up to what may be held of it. Only io.EOF says that
+// the body is whole: chunks that break off end in io.ErrUnexpectedEOF, which io.ReadFull
+// would also make of an end that is none too early.
 func readBody(from io.Reader, most, length int64) (body []byte, whole bool, err error) {
 	body = make([]byte, most)
-	n, err := io.ReadFull(from, body)
-	short := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	n := 0
+	for n < len(body) && err == nil {
+		var more int
+		more, err = from.Read(body[n:])
+		n += more
+	}
+	var b *badRequest
 	switch {
+	case err == io.EOF && (length < 0 || int64(n) == length):
+		return body[:n], true, nil
 	case err == nil:
 		return body, length == most, nil
-	case short && length < 0:
-		return body[:n], true, nil
-	}
-	var b *badRequest
-	if errors.As(err, &b) {
+	case errors.As(err, &b):
 		return nil, false, err
 	}
 	return nil, false, bad("the body could not be read")
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -131,6 +131,44 @@
 	}
 }
 
+// A client that goes while its body comes in chunks has sent no request: what it leaves
+// must not reach an endpoint as if it were one, however little of it there is.
+func TestChunkedBodyThatBreaksOffIsNoRequest(t *testing.T) {
+	e := newEndpoint(t, sum)
+	w := start(t, nil, ready("s-1", e.address))
+	// That the client is gone is heard as late as can be, once an endpoint would have the request.
+	w.do(func() {
+		w.spy.beforeGone = func() { await(t, "the request at the endpoint", func() bool { n, _ := e.seen(); return n > 0 }) }
+	})
+	framed := inChunks(strings.Repeat("x", 3000), 1000) + "0\r\n\r\n"
+	id := 0
+	for what, part := range map[string]string{
+		"ahead of the first chunk": "",
+		"within a chunk's length":  framed[:2],
+		"within a chunk":           framed[:1500],
+		"between two chunks":       framed[:1000+len("3e8\r\n\r\n")],
+		"ahead of the last chunk":  strings.TrimSuffix(framed, "0\r\n\r\n"),
+		"within the last chunk":    strings.TrimSuffix(framed, "\r\n"),
+	} {
+		for end, leave := range map[string]func(*net.TCPConn){
+			"half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+			"resets":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		} {
+			id++
+			conn := w.dial().(*net.TCPConn)
+			fmt.Fprintf(conn, "%sX-Correlation-Id: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", payHead, id, part)
+			leave(conn)
+			if got, _ := io.ReadAll(conn); len(got) > 0 && !strings.HasPrefix(string(got), "HTTP/1.1 400") {
+				t.Errorf("a client that %s %s got %q", end, what, got)
+			}
+			w.until("the connection to be over", func() bool { return w.server.clients.count() == 0 })
+		}
+	}
+	if n, _ := e.seen(); n != 0 {
+		t.Errorf("the endpoint read %d requests that no client sent, one of %d bytes", n, e.request(0).ContentLength)
+	}
+}
+
 // quiet is a connection that has no deadlines.
 type quiet struct{ net.Conn }
 
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -226,6 +226,8 @@
 	lists    []balancer.ListKind
 	probes   []balancer.Status
 	loads    [][]float32
+
+	beforeGone func() // called in the loop, ahead of the balancer; may be nil
 }
 
 func (s *spy) Outcome(now balancer.Micros, o balancer.Outcome) {
@@ -245,6 +247,9 @@
 
 func (s *spy) ClientGone(now balancer.Micros, id uint64) {
 	s.note(func() { s.events = append(s.events, "gone") })
+	if s.beforeGone != nil {
+		s.beforeGone()
+	}
 	s.decider.ClientGone(now, id)
 }
 
