One gate before an attempt's first byte; a repeat has a latest instant, a client a last look

To blame: balancer.go, maySend, which compares the window with the time of the decision, and upstream.go, exchange, which looks only at the endpoint before the first byte: a repeat decided within the window could wait for its connection until after it. The same gap let an attempt begin for a client that had left, if the settings allow no cancelling or its leaving was not heard yet (loop.go, gone; balancer.go, end).

Now every attempt and probe passes one gate right before its first byte: endpoint open, request not over, time left, client still there by a look at its socket, and the latest instant of a repeat. The module decides that instant (first send plus window, less the way there) and hands it to Send, in place of a time-out that was always 0. When a request is over, attempts that have not begun are called off whatever the settings say: nobody knows of them.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -258,8 +258,9 @@
 // Actions is what a balancer asks of its host. Calls come from within event
 // methods, in the order in which they are to take effect.
 type Actions interface {
-	// Send starts an attempt; timeout 0 means until the client's deadline.
-	Send(id uint64, endpoint uint32, timeout Micros)
+	// Send starts an attempt, unless latest comes before its first byte can go out: it may wait for a connection
+	// until then. A latest of 0 means until the client's deadline.
+	Send(id uint64, endpoint uint32, latest Micros)
 	// Refuse is a final answer that promises that a retry is harmless.
 	Refuse(id uint64, retryAfter Micros)
 	// Fail is a final answer that promises nothing.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -110,11 +110,22 @@
 		return false
 	}
 	c, first := b.class(r), r.bound()
-	return first == nil || c.Repeat == Safe || c.Repeat == Keyed && now < first.at+c.Window &&
+	return first == nil || c.Repeat == Safe || c.Repeat == Keyed && now < b.latest(r, e) &&
 		(c.Group == GroupAll || c.Group == GroupZone && e.Zone == first.zone ||
 			c.Group == GroupCell && e.Cell == first.cell)
 }
 
+// latest is the instant up to which an attempt at e may begin, or 0 where only the deadline counts. A keyed
+// repeat has to arrive while its group still drops it, counted from when the first attempt was sent at the
+// earliest; what is decided in time may wait for a connection for longer than that.
+func (b *Balancer) latest(r *request, e *endpoint) Micros {
+	c, first := b.class(r), r.bound()
+	if first == nil || c.Repeat != Keyed {
+		return 0
+	}
+	return first.at + c.Window - Micros(b.ways[e.Zone].v)
+}
+
 func (b *Balancer) mayRefuse(r *request) bool {
 	c := b.class(r)
 	return c.Repeat == Safe || r.bound() == nil || c.Repeat == Keyed && c.Group == GroupAll
@@ -133,6 +144,7 @@
 		b.turn = nil
 		b.stats.ColdSends++
 	}
+	latest := b.latest(r, e)
 	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, cold: cold, expected: b.predict(now, e, r.work),
 		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), factor: r.work * b.crowding(e),
 		out: true, mayRun: true, written: !r.Passing}
@@ -146,7 +158,7 @@
 	}
 	b.stats.Sends++
 	b.sentWork.add(now, r.work)
-	b.out.Send(r.ID, e.ID, 0)
+	b.out.Send(r.ID, e.ID, latest)
 	if len(r.attempts) == 1 {
 		b.out.Timer(max(1, r.Deadline-now), r.token)
 	}
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -9,7 +9,7 @@
 // host prints what a balancer asks for. A sidecar does these things.
 type host struct{ sent []uint32 }
 
-func (h *host) Send(id uint64, endpoint uint32, timeout balancer.Micros) {
+func (h *host) Send(id uint64, endpoint uint32, _ balancer.Micros) {
 	h.sent = append(h.sent, endpoint)
 	fmt.Printf("send request %d to endpoint %d\n", id, endpoint)
 }
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -33,6 +33,7 @@
 // recorder keeps what a balancer asks of its host.
 type recorder struct {
 	sends   []sent
+	latest  []Micros // of the sends
 	refused []uint64
 	failed  []uint64
 	cancels []uint64
@@ -43,10 +44,12 @@
 	logs    []string
 }
 
-func (r *recorder) Send(id uint64, e uint32, _ Micros) { r.sends = append(r.sends, sent{id, e}) }
-func (r *recorder) Refuse(id uint64, _ Micros)         { r.refused = append(r.refused, id) }
-func (r *recorder) Fail(id uint64)                     { r.failed = append(r.failed, id) }
-func (r *recorder) Cancel(id uint64, _ int)            { r.cancels = append(r.cancels, id) }
+func (r *recorder) Send(id uint64, e uint32, latest Micros) {
+	r.sends, r.latest = append(r.sends, sent{id, e}), append(r.latest, latest)
+}
+func (r *recorder) Refuse(id uint64, _ Micros) { r.refused = append(r.refused, id) }
+func (r *recorder) Fail(id uint64)             { r.failed = append(r.failed, id) }
+func (r *recorder) Cancel(id uint64, _ int)    { r.cancels = append(r.cancels, id) }
 func (r *recorder) Timer(delay Micros, token uint32) {
 	r.timers, r.delays = append(r.timers, token), append(r.delays, delay)
 }
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -719,3 +719,50 @@
 		}
 	}
 }
+
+// A repeat of a keyed request carries the latest instant at which it may begin, with room for its way; a first
+// attempt and a repeat of a safe request carry none, nor does one after an attempt that never ran.
+func TestRepeatCarriesItsLatestInstant(t *testing.T) {
+	const way = 20_000
+	for name, c := range map[string]struct {
+		class  uint8
+		status Status
+		want   Micros
+	}{
+		"keyed, reset":       {1, Reset, 10_000 + 500_000 - way},
+		"keyed, error":       {1, Error, 10_000 + 500_000 - way},
+		"keyed, turned away": {1, Full, 0},
+		"safe, reset":        {0, Reset, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, r := start(t, testSettings(), ready(4))
+			for _, e := range b.list {
+				b.ways[e.Zone].add(way)
+			}
+			b.Request(10_000, request0(1, c.class, 10_000))
+			b.Timer(20_000, r.timers[len(r.timers)-1]) // should it wait for probes
+			if len(r.sends) != 1 || r.latest[0] != 0 {
+				t.Fatalf("first attempts %v, latest %v", r.sends, r.latest)
+			}
+			at := b.requests[1].attempts[0].at
+			b.Outcome(200_000, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: c.status})
+			want := c.want
+			if want > 0 {
+				want += at - 10_000
+			}
+			if len(r.sends) != 2 || r.latest[1] != want {
+				t.Errorf("sends %v, latest %v, want %d", r.sends, r.latest, want)
+			}
+		})
+	}
+	b, r := start(t, testSettings(), ready(4))
+	b.ways[0].add(way)
+	b.ways[1].add(way)
+	b.Request(0, request0(1, 1, 0))
+	b.Timer(10_000, r.timers[len(r.timers)-1])
+	at := b.requests[1].attempts[0].at
+	b.Outcome(at+500_000-way, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: Reset})
+	if len(r.sends) != 1 || len(r.refused) != 1 {
+		t.Errorf("sends %v, refused %v: a repeat that could not arrive in time", r.sends, r.refused)
+	}
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -157,9 +157,9 @@
 	i.balancer.Start(now)
 }
 
-// Send writes a deliver record.
-func (i *instance) Send(id uint64, endpoint uint32, timeout balancer.Micros) {
-	i.reply.Deliver(id, endpoint, timeout)
+// Send writes a deliver record. The simulator's rules go by the instant of that.
+func (i *instance) Send(id uint64, endpoint uint32, _ balancer.Micros) {
+	i.reply.Deliver(id, endpoint, 0)
 }
 
 // Refuse writes a decline record.
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -167,6 +167,10 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// gone says that the client has ended its side, as far as that can be seen: behind bytes
+// that were not read yet it can't.
+func (c *clientConn) gone() bool { return peek(c.Conn) == ended }
+
 // boundBuffer bounds what the system takes of an answer before the client does, so
 // that a write tells in time whether the client still reads.
 func (c *clientConn) boundBuffer(size int) {
--- /dev/null
+++ b/internal/sidecar/gate.go
@@ -0,0 +1,55 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+// gate is what every attempt and probe passes right before its first byte, whether it is
+// the first or a further one, on a connection that was idle or dialled for it, however long
+// that took. What the balancer decided may no longer hold by then.
+type gate struct {
+	latest time.Time   // after which a repeat may run twice; zero where that is no matter
+	gone   func() bool // whether the client has left, by a look at its connection; nil: there is none
+	phase  atomic.Int32
+}
+
+// The phases of a gate: it is passed or shut once, and for good.
+const (
+	waiting int32 = iota
+	passed
+	shut
+)
+
+// Reasons for which nothing may begin.
+var (
+	errGone = errors.New("the client has left, or its request is over")
+	errLate = errors.New("a repeat may no longer be sent")
+)
+
+// close keeps an attempt from beginning and says whether that came in time.
+func (g *gate) close() bool { return g.phase.CompareAndSwap(waiting, shut) }
+
+// pass says whether the first byte may go out on a connection to t, or why not.
+func (u *upstream) pass(ctx context.Context, g *gate, t *target) error {
+	u.mu.Lock()
+	closed := t.closed
+	u.mu.Unlock()
+	switch {
+	case closed:
+		return errClosed
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case over(ctx):
+		return context.DeadlineExceeded
+	case !g.latest.IsZero() && !time.Now().Before(g.latest):
+		return errLate
+	case g.gone != nil && g.gone():
+		return errGone
+	case !g.phase.CompareAndSwap(waiting, passed):
+		return errGone
+	}
+	return nil
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -103,8 +103,26 @@
 	deadline balancer.Micros
 	answer   chan answer // takes the one final answer
 	over     bool        // the final answer is out, or the client is gone
-	attempts []context.CancelFunc
-	out      int // attempts without outcome
+	attempts []started
+	out      int         // attempts without outcome
+	gone     func() bool // whether the client has left, by a look at its connection; may be nil
+}
+
+// started is an attempt that is under way.
+type started struct {
+	cancel context.CancelFunc
+	gate   *gate
+}
+
+// end marks that nothing new may begin for the request. An attempt that has not begun is
+// called off whether or not the settings let one be cancelled: nobody knows of it yet.
+func (r *request) end() {
+	r.over = true
+	for _, a := range r.attempts {
+		if a.gate.close() {
+			a.cancel()
+		}
+	}
 }
 
 // answer is the final answer to a request.
@@ -240,7 +258,7 @@
 		unread.close()
 		return
 	}
-	r.over = true
+	r.end()
 	l.balancer.ClientGone(now, r.id)
 	l.forget(r)
 }
@@ -261,7 +279,7 @@
 // finish gives the final answer, unless one is out already.
 func (l *loop) finish(r *request, a answer) {
 	if r != nil && !r.over {
-		r.over = true
+		r.end()
 		r.answer <- a // it has room for the one
 		return
 	}
@@ -391,20 +409,20 @@
 }
 
 // Send starts an attempt.
-func (l *loop) Send(id uint64, endpoint uint32, timeout balancer.Micros) {
+func (l *loop) Send(id uint64, endpoint uint32, latest balancer.Micros) {
 	r, t := l.requests[id], l.depart(endpoint)
-	now, until := l.clock.now(), r.deadline
-	if timeout > 0 {
-		until = min(until, now+timeout)
+	now, g := l.clock.now(), &gate{gone: r.gone}
+	if latest > 0 {
+		g.latest = l.clock.time(latest)
 	}
-	ctx, cancel := context.WithDeadline(l.ctx, l.clock.time(until))
+	ctx, cancel := context.WithDeadline(l.ctx, l.clock.time(r.deadline))
 	o := balancer.Outcome{ID: id, Attempt: len(r.attempts), Endpoint: endpoint}
-	r.attempts = append(r.attempts, cancel)
+	r.attempts = append(r.attempts, started{cancel, g})
 	r.out++
 	go func() {
 		res := result{status: balancer.Moot}
 		if t != nil {
-			res = l.up.attempt(ctx, t, r.message)
+			res = l.up.attempt(ctx, t, r.message, g)
 		}
 		cancel()
 		l.post(func(at balancer.Micros) {
@@ -433,7 +451,7 @@
 // Cancel gives an attempt up: its connection is closed, its outcome still comes.
 func (l *loop) Cancel(id uint64, attempt int) {
 	if r := l.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
-		r.attempts[attempt]()
+		r.attempts[attempt].cancel()
 	}
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -384,7 +384,7 @@
 		delete(s.ids, id)
 		s.mu.Unlock()
 	}()
-	r := &request{answer: make(chan answer, 1), message: m}
+	r := &request{answer: make(chan answer, 1), message: m, gone: c.gone}
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	var failed chan error
 	if m.upload != nil {
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -152,7 +152,7 @@
 	})
 	u := newTestUpstream(t, 4)
 	for range 2 {
-		if r := u.attempt(t.Context(), &target{address: e.address}, get("/")); r.status != balancer.OK || string(r.body) != "done" {
+		if r := u.attempt(t.Context(), &target{address: e.address}, get("/"), &gate{}); r.status != balancer.OK || string(r.body) != "done" {
 			t.Errorf("status %v, body %q", r.status, r.body)
 		}
 	}
@@ -163,7 +163,7 @@
 	e := newEndpoint(t, always(served))
 	u := newTestUpstream(t, 4)
 	u.room.used.Store(u.room.most.Load())
-	r := u.attempt(t.Context(), &target{address: e.address}, get("/"))
+	r := u.attempt(t.Context(), &target{address: e.address}, get("/"), &gate{})
 	if r.status != balancer.OK || len(r.body) != 0 || r.rest == nil {
 		t.Fatalf("status %v, %d bytes held", r.status, len(r.body))
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -131,7 +131,7 @@
 // attempt sends a request once and tells what came of it. Its outcome claims
 // that the request never ran only where the last byte was not written, or the
 // endpoint says so; in doubt it may have run.
-func (u *upstream) attempt(ctx context.Context, t *target, m *message) result {
+func (u *upstream) attempt(ctx context.Context, t *target, m *message, g *gate) result {
 	var got *received
 	var start time.Time
 	err := error(errStale)
@@ -141,7 +141,7 @@
 			return result{status: unsent(ctx, unable)}
 		}
 		start = time.Now()
-		got, err = u.exchange(ctx, c, m)
+		got, err = u.exchange(ctx, c, m, g)
 	}
 	r := result{status: balancer.Error, took: time.Since(start)}
 	var never *unsentError
@@ -181,7 +181,8 @@
 // fault, unless the sidecar no longer wanted to send it, or the client to write it.
 func unsent(ctx context.Context, err error) balancer.Status {
 	var client *clientError
-	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) || errors.Is(err, errStopped) || errors.As(err, &client) {
+	own := slices.ContainsFunc([]error{errClosed, errFull, errStopped, errGone, errLate}, func(e error) bool { return errors.Is(err, e) })
+	if own || ctx.Err() != nil || over(ctx) || errors.As(err, &client) {
 		return balancer.Moot
 	}
 	return balancer.ConnectFailed
@@ -196,7 +197,7 @@
 	if len(u.fields) > 0 {
 		m.url.Path = "/stats"
 	}
-	r := u.attempt(ctx, t, m)
+	r := u.attempt(ctx, t, m, &gate{})
 	if r.status == balancer.OK {
 		r.load = u.loadReport(string(r.body))
 		(&answer{rest: r.rest, held: r.held}).close()
@@ -357,18 +358,39 @@
 
 // readable says whether anything can be read of a connection: bytes, its end, or
 // an error.
-func readable(c net.Conn) bool {
+func readable(c net.Conn) bool { return peek(c) != nothing }
+
+// look is what a connection has to read.
+type look uint8
+
+// A connection has nothing to read, some bytes, or its end or an error.
+const (
+	nothing look = iota
+	unread
+	ended
+)
+
+// peek looks at a connection without reading of it.
+func peek(c net.Conn) look {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return true
+		return ended
 	}
-	silent := false
+	found := ended
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = err == syscall.EAGAIN
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN:
+			found = nothing
+		case err == nil && n > 0:
+			found = unread
+		}
 	})
-	return err != nil || !silent
+	if err != nil {
+		return ended
+	}
+	return found
 }
 
 // Read reads with a limit on the time without a byte, where there is one.
@@ -392,7 +414,7 @@
 
 // exchange writes one request on a connection and reads the answer, or its
 // beginning. It gives the connection back unless there is a rest.
-func (u *upstream) exchange(ctx context.Context, c *conn, m *message) (got *received, err error) {
+func (u *upstream) exchange(ctx context.Context, c *conn, m *message, g *gate) (got *received, err error) {
 	keep := false
 	c.ctx, c.limit.N = ctx, answerMost+holdMost
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes a read or write
@@ -419,19 +441,13 @@
 	if err != nil {
 		return nil, &unsentError{err}
 	}
-	// The endpoint may have been told draining while the connection was
-	// dialled: nothing new may go there.
-	u.mu.Lock()
-	closed := c.target.closed
-	u.mu.Unlock()
-	if closed {
-		return nil, &unsentError{errClosed}
-	}
-	// Looked at last thing before the write: what has come by now was not asked
-	// for, and must not be taken for the answer.
+	// What has come by now was not asked for, and must not be taken for the answer.
 	if c.used && !c.alive() {
 		return nil, errStale
 	}
+	if err := u.pass(ctx, g, c.target); err != nil {
+		return nil, &unsentError{err}
+	}
 	if n, err := c.Write(data); n < len(data) {
 		return nil, &unsentError{err}
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -104,7 +104,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), wait)
 			defer cancel()
 			u := newTestUpstream(t, 4)
-			r := u.attempt(ctx, &target{address: e.address}, get("/"))
+			r := u.attempt(ctx, &target{address: e.address}, get("/"), &gate{})
 			if r.status != c.want {
 				t.Errorf("status %v, want %v", r.status, c.want)
 			}
@@ -118,7 +118,7 @@
 func TestConnectionRefusedNeverRan(t *testing.T) {
 	u := newTestUpstream(t, 1)
 	for range 2 { // a failed connection gives its place back
-		r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"))
+		r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"), &gate{})
 		if r.status != balancer.ConnectFailed {
 			t.Errorf("status %v, want ConnectFailed", r.status)
 		}
@@ -133,7 +133,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"))
+	r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"), &gate{})
 	if r.status != balancer.ConnectFailed {
 		t.Errorf("status %v, want ConnectFailed", r.status)
 	}
@@ -166,7 +166,7 @@
 	u.dialer.Control = small(syscall.SO_SNDBUF)
 	m := get("/")
 	m.method, m.body = http.MethodPost, make([]byte, bodyMost)
-	if r := u.attempt(context.Background(), &target{address: listener.Addr().String()}, m); r.status != balancer.ConnectFailed {
+	if r := u.attempt(context.Background(), &target{address: listener.Addr().String()}, m, &gate{}); r.status != balancer.ConnectFailed {
 		t.Errorf("status %v, want ConnectFailed", r.status)
 	}
 }
@@ -180,7 +180,7 @@
 			"Connection": {"close"}, "Expect": {"100-continue"}, "Content-Length": {"7"}}}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := newTestUpstream(t, 1).attempt(ctx, &target{address: e.address}, m); r.status != balancer.OK {
+	if r := newTestUpstream(t, 1).attempt(ctx, &target{address: e.address}, m, &gate{}); r.status != balancer.OK {
 		t.Fatalf("status %v", r.status)
 	}
 	got := e.request(0)
@@ -210,10 +210,10 @@
 		}
 	})
 	u, at := newTestUpstream(t, 4), &target{address: e.address}
-	if r := u.attempt(context.Background(), at, get("/1")); r.status != balancer.OK {
+	if r := u.attempt(context.Background(), at, get("/1"), &gate{}); r.status != balancer.OK {
 		t.Fatalf("first: status %v", r.status)
 	}
-	if r := u.attempt(context.Background(), at, get("/2")); r.status != balancer.Reset {
+	if r := u.attempt(context.Background(), at, get("/2"), &gate{}); r.status != balancer.Reset {
 		t.Errorf("second: status %v, want Reset", r.status)
 	}
 	if requests, conns := e.seen(); requests != 2 || conns != 1 {
@@ -233,7 +233,7 @@
 	})
 	u, at := newTestUpstream(t, 1), &target{address: e.address}
 	for i := range 2 {
-		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
+		if r := u.attempt(context.Background(), at, get("/"), &gate{}); r.status != balancer.OK {
 			t.Fatalf("attempt %d: status %v, want OK", i, r.status)
 		}
 		<-closed
@@ -255,7 +255,7 @@
 	}
 	attempt := func() {
 		t.Helper()
-		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
+		if r := u.attempt(context.Background(), at, get("/"), &gate{}); r.status != balancer.OK {
 			t.Fatalf("status %v", r.status)
 		}
 	}
@@ -284,21 +284,21 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	quick, slow := newEndpoint(t, always(served)), newEndpoint(t, silent)
 	u := newTestUpstream(t, 1)
-	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.OK {
+	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/"), &gate{}); r.status != balancer.OK {
 		t.Fatalf("status %v", r.status)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	busy := make(chan result)
-	go func() { busy <- u.attempt(ctx, &target{address: slow.address}, get("/")) }()
+	go func() { busy <- u.attempt(ctx, &target{address: slow.address}, get("/"), &gate{}) }()
 	await(t, "the slow endpoint's request", func() bool { n, _ := slow.seen(); return n == 1 })
-	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.Moot {
+	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/"), &gate{}); r.status != balancer.Moot {
 		t.Errorf("beyond the limit: status %v, want Moot", r.status)
 	}
 	cancel()
 	if r := <-busy; r.status != balancer.Cancelled {
 		t.Errorf("called off: status %v, want Cancelled", r.status)
 	}
-	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.OK {
+	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/"), &gate{}); r.status != balancer.OK {
 		t.Errorf("with room again: status %v, want OK", r.status)
 	}
 }
@@ -336,7 +336,7 @@
 		return nil
 	}
 	done := make(chan result)
-	go func() { done <- u.attempt(context.Background(), at, get("/")) }()
+	go func() { done <- u.attempt(context.Background(), at, get("/"), &gate{}) }()
 	<-dialling
 	u.retire(at)
 	close(go_)
@@ -346,7 +346,7 @@
 	if n, _ := e.seen(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
-	if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.Moot || u.open != 0 {
+	if r := u.attempt(context.Background(), at, get("/"), &gate{}); r.status != balancer.Moot || u.open != 0 {
 		t.Errorf("later: status %v, want Moot; %d connections open", r.status, u.open)
 	}
 }
@@ -408,14 +408,14 @@
 				}
 			})
 			u, at := newTestUpstream(t, 4), &target{address: e.address}
-			if r := u.attempt(context.Background(), at, get("/one.")); r.status != balancer.OK || string(r.body) != "one." {
+			if r := u.attempt(context.Background(), at, get("/one."), &gate{}); r.status != balancer.OK || string(r.body) != "one." {
 				t.Fatalf("first: status %v, body %q", r.status, r.body)
 			}
 			close(rest)
 			if late {
 				await(t, "the rest to arrive", func() bool { return !u.idle[at][0].alive() })
 			}
-			if r := u.attempt(context.Background(), at, get("/two.")); r.status != balancer.OK || string(r.body) != "two." {
+			if r := u.attempt(context.Background(), at, get("/two."), &gate{}); r.status != balancer.OK || string(r.body) != "two." {
 				t.Errorf("second: status %v, body %q", r.status, r.body)
 			}
 			if _, conns := e.seen(); conns != 2 {
@@ -438,7 +438,7 @@
 		})
 		u, at := newTestUpstream(t, 1), &target{address: e.address}
 		for range 2 { // on a new connection and on a used one
-			if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
+			if r := u.attempt(context.Background(), at, get("/"), &gate{}); r.status != balancer.OK {
 				t.Errorf("%s: status %v, want OK", name, r.status)
 			}
 		}
