Close clients' connections in one way: half-close, drain, close; only what carries nothing gives way

To blame, all in clients.go and server.go: - Close went straight to the system's close. net/http half-closes only where it has refused a body, and clientConn hid CloseWrite even from that. Bytes that had come meanwhile made the close a reset, which can take along an answer that the client has not read yet. - Accept closed the connection that had been silent for longest though its next request lay there to be read, or was read whole and on its way to the handler, which then broke off (begin).

Now there is one path: the sidecar ends its side, reads on until the client has ended its own, 0.5 s and 1 MiB at most, and closes; nothing read there is a request. Connections on that path make room first, then the longest silent one that has nothing to read and no whole head. Where there is none, four more than the limit at a time are told 503. Behind a request in hand the connection is read on until the client's end; what came there is no request, and the answer ends the connection.

TestNoRoomForAConnection asked for an end without an answer; it now asks for the 503 and the end.

Tests: each order is forced by bytes that wait unread or a dial that is held; each was seen to fail with its part taken out, and passes 20 times with -race.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"container/list"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -22,11 +23,20 @@
 	open    int
 	asked   int       // of those, the ones that a request has come on
 	waiting list.List // of *clientConn, with no whole request; the longest without a byte first
+	closing list.List // of *clientConn, half-closed and drained until the client ends its side; oldest first
 }
 
-// Accept returns the next connection. Beyond the limit the one that has been silent
-// for longest makes room, whether idle or half-way through a request: a slow client
-// goes on writing. Where all have a request open, the new one is closed.
+const (
+	closeDrain   = 500 * time.Millisecond // for a client to end its side after the sidecar has
+	drainMost    = 1 << 20                // bytes read of it meanwhile
+	atDoorMost   = 4                      // connections beyond the limit that are told so; out of socketSpare
+	atDoorAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Accept returns the next connection. Beyond the limit one that carries nothing makes
+// room: one that is being closed, or the one that has been silent for longest, whether idle
+// or half-way through a head: a slow client goes on writing. Where all have a request open
+// or something to read, the new one is told that there is no room.
 func (l *clients) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -34,32 +44,62 @@
 			return nil, err
 		}
 		c := &clientConn{Conn: raw, owner: l, begun: time.Now()}
-		if old, ok := l.admit(c); ok {
-			if old != nil {
-				old.Conn.Close()
-			}
+		switch l.admit(c) {
+		case admitted:
 			return c, nil
+		case atDoor:
+			io.WriteString(raw, atDoorAnswer) // it has room for that
+			c.Close()
+		case turnedAway:
+			raw.Close()
 		}
-		raw.Close()
 	}
 }
 
-// admit counts a new connection in and names the one that must go for it, if any.
-func (l *clients) admit(c *clientConn) (old *clientConn, ok bool) {
+// admission is what becomes of a new connection.
+type admission uint8
+
+const (
+	admitted   admission = iota
+	atDoor               // there is no room but for saying so
+	turnedAway           // nor for that
+)
+
+// admit counts a new connection in and closes those that must go for it.
+func (l *clients) admit(c *clientConn) admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.open >= l.most {
-		longest := l.waiting.Front()
-		if longest == nil {
-			return nil, false
-		}
-		old = longest.Value.(*clientConn)
-		old.leave()
+	for l.open >= l.most && l.evict() {
 	}
+	if l.open >= l.most+atDoorMost {
+		return turnedAway
+	}
+	room := l.open < l.most
 	l.open++
 	c.since = time.Now()
+	if !room {
+		return atDoor
+	}
 	c.place = l.waiting.PushBack(c)
-	return old, true
+	return admitted
+}
+
+// evict closes one connection that carries nothing. It holds l.mu.
+func (l *clients) evict() bool {
+	if e := l.closing.Front(); e != nil {
+		c := e.Value.(*clientConn)
+		c.leave()
+		c.Conn.Close()
+		return true
+	}
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); c.giveWay() {
+			c.leave()
+			c.Conn.Close()
+			return true
+		}
+	}
+	return false
 }
 
 // limit sets the most connections, and has silent ones beyond that end.
@@ -120,13 +160,21 @@
 // clientConn is one connection of a client. It carries one request at a time.
 type clientConn struct {
 	net.Conn
-	owner *clients
-	place *list.Element // in owner.waiting; nil while a request is open
-	since time.Time     // it has waited without a byte
-	asked bool          // a request has come on it
-	left  bool          // no longer counted
+	owner   *clients
+	place   *list.Element // in owner.waiting; nil while a request is open
+	drained *list.Element // in owner.closing, once half-closed
+	since   time.Time     // it has waited without a byte
+	asked   bool          // a request has come on it
+	gone    bool          // no longer counted
 
-	mu      sync.Mutex // net/http reads on while a handler runs
+	mu      sync.Mutex    // net/http reads on while a handler runs
+	evicted bool          // it had to make room: what comes now is not read
+	ended   bool          // the client has ended its side, or the connection is broken
+	resets  bool          // it is to end in a reset
+	closed  bool          // Close was called
+	inHand  bool          // a whole request has come and its answer has not begun
+	behind  bool          // something came behind that request, which nobody will answer
+	left    chan struct{} // closed when the client ends its side behind that; nil before
 	head    headScan
 	begun   time.Time // of the request that is being read: of the first one with the connection
 	readBy  time.Time // the deadline that net/http has set
@@ -167,9 +215,79 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// gone says that the client has ended its side, as far as that can be seen: behind bytes
-// that were not read yet it can't.
-func (c *clientConn) gone() bool { return peek(c.Conn) == ended }
+// giveWay says whether a connection carries nothing and may be closed for another: with
+// nothing to read, and less than a head read since its last request.
+// From then on nothing is read of it: a request that crosses is the client's to repeat.
+func (c *clientConn) giveWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.end > 0 || readable(c.Conn) {
+		return false
+	}
+	c.evicted = true
+	return true
+}
+
+// take marks that a whole request has come, with something behind it or not. Until its
+// answer begins, the client's end is looked for behind whatever else comes: it sends one
+// request at a time, and net/http, which would tell of the end, reads but one byte.
+func (c *clientConn) take(alone bool) (left <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHand, c.left = true, make(chan struct{})
+	if !alone || c.head.size > 0 {
+		c.readBehind()
+	}
+	return c.left
+}
+
+// give marks that the answer begins, and says whether something came behind the request.
+func (c *clientConn) give() (behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHand = false
+	return c.behind
+}
+
+// readBehind reads on until the client ends its side or the connection is closed, which
+// it is after the answer. It holds c.mu.
+func (c *clientConn) readBehind() {
+	if c.behind {
+		return
+	}
+	c.behind = true
+	go func() {
+		err := c.drain(drainMost)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.ended = true
+			close(c.left)
+		}
+	}()
+}
+
+// drain reads so many bytes and forgets them, or returns the error that ended that.
+func (c *clientConn) drain(most int) error {
+	var piece [1 << 10]byte
+	for most > 0 {
+		n, err := c.Conn.Read(piece[:])
+		if err != nil {
+			return err
+		}
+		most -= n
+	}
+	return nil
+}
+
+// hasLeft says that the client has ended its side, as far as that can be seen: behind
+// bytes that were not read yet it can't.
+func (c *clientConn) hasLeft() bool {
+	c.mu.Lock()
+	known := c.ended
+	c.mu.Unlock()
+	return known || peek(c.Conn) == ended
+}
 
 // boundBuffer bounds what the system takes of an answer before the client does, so
 // that a write tells in time whether the client still reads.
@@ -182,6 +300,9 @@
 // cut has the connection end in a reset, so that what it carried is not taken for
 // whole where only its end would tell.
 func (c *clientConn) cut() {
+	c.mu.Lock()
+	c.resets = true
+	c.mu.Unlock()
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.SetLinger(0)
 	}
@@ -189,10 +310,10 @@
 
 // leave ends the counting of a connection. It holds owner.mu.
 func (c *clientConn) leave() {
-	if c.left {
+	if c.gone {
 		return
 	}
-	c.left = true
+	c.gone = true
 	c.owner.open--
 	if c.asked {
 		c.owner.asked--
@@ -201,15 +322,59 @@
 		c.owner.waiting.Remove(c.place)
 		c.place = nil
 	}
+	if c.drained != nil {
+		c.owner.closing.Remove(c.drained)
+		c.drained = nil
+	}
 }
 
+// Close is the one way in which a client's connection ends, but for one that gives way.
+// Closed over something unread the connection would be reset, and an answer that the client
+// has not read yet would go with it: the sidecar ends its side, reads on until the client has
+// ended its own, for a while, and closes then. Nothing that it reads there is a request.
 func (c *clientConn) Close() error {
+	c.mu.Lock()
+	again, now := c.closed, c.resets || c.ended || c.evicted
+	c.closed = true
+	c.mu.Unlock()
+	if again {
+		return nil
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if now || !ok || half.CloseWrite() != nil || !c.owner.drainLater(c) {
+		return c.finish()
+	}
+	go func() {
+		c.Conn.SetReadDeadline(time.Now().Add(closeDrain))
+		c.drain(drainMost)
+		c.finish()
+	}()
+	return nil
+}
+
+// finish ends the counting of a connection and gives its descriptor back.
+func (c *clientConn) finish() error {
 	c.owner.mu.Lock()
 	c.leave()
 	c.owner.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// drainLater marks that a connection is half-closed, unless it is closed already.
+func (l *clients) drainLater(c *clientConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.gone {
+		return false
+	}
+	if c.place != nil {
+		l.waiting.Remove(c.place)
+		c.place = nil
+	}
+	c.drained = l.closing.PushBack(c)
+	return true
+}
+
 func (c *clientConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
@@ -217,10 +382,21 @@
 			continue
 		}
 		c.mu.Lock()
+		if c.evicted || c.closed {
+			n, err = 0, net.ErrClosed
+		}
 		if c.begun.IsZero() {
 			c.begun = time.Now()
 		}
 		c.head.scan(p[:n])
+		if n > 0 && c.expired { // it came in the very instant
+			c.expired = false
+			c.Conn.SetReadDeadline(c.readBy)
+		}
+		if n > 0 && c.inHand {
+			c.readBehind()
+		}
+		c.ended = c.ended || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 		c.mu.Unlock()
 		if n > 0 {
 			c.owner.heard(c)
@@ -229,12 +405,11 @@
 	}
 }
 
-// begin marks that a request is open; false says that its connection has just had
-// to make room.
+// begin marks that a request is open; false says that its connection is closed already.
 func (c *clientConn) begin() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if c.left {
+	if c.gone || c.place == nil {
 		return false
 	}
 	c.owner.waiting.Remove(c.place)
@@ -260,7 +435,7 @@
 func (c *clientConn) done() {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if !c.left && c.place == nil {
+	if !c.gone && c.place == nil && c.drained == nil {
 		c.since = time.Now()
 		c.place = c.owner.waiting.PushBack(c)
 	}
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -311,7 +311,7 @@
 	}
 }
 
-// Where every connection has a request open, one more is closed.
+// Where every connection has a request open, one more is told so and closed.
 func TestNoRoomForAConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -344,8 +344,8 @@
 	}
 	second := dial()
 	defer second.Close()
-	if _, err := second.Read(make([]byte, 1)); err != io.EOF {
-		t.Errorf("the second connection: %v, want its end", err)
+	if got, err := io.ReadAll(second); err != nil || string(got) != atDoorAnswer {
+		t.Errorf("the second connection: %q, %v; want 503 and its end", got, err)
 	}
 	c.done()
 	defer dial().Close()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -322,7 +322,7 @@
 		left := time.Duration(req.Deadline-arrived) * time.Microsecond
 		m.upload = &upload{length: in.ContentLength, left: left, body: from, failed: make(chan error, 1)}
 		req.Passing, req.Deadline = true, arrived+passMost.Microseconds()
-		s.request(w, in, c, req, m)
+		s.request(w, in, c, nil, req, m)
 		return
 	}
 	if req.Deadline > 0 { // its time counts from its last byte
@@ -331,16 +331,15 @@
 	// The deadline for reading the request would otherwise end its context
 	// while the answer is still awaited.
 	c.SetReadDeadline(time.Time{})
-	if !c.alone(in.ContentLength) {
-		// Clients send one request at a time. What came behind this one is left
-		// unread: only a client's own word says that it is a request.
-		w.Header().Set("Connection", "close")
-	}
+	alone := c.alone(in.ContentLength)
 	if ready {
+		if !alone {
+			w.Header().Set("Connection", "close")
+		}
 		s.ready(w)
 		return
 	}
-	s.request(w, in, c, req, m)
+	s.request(w, in, c, c.take(alone), req, m)
 }
 
 var tooLarge = fmt.Sprintf("the body is over %d bytes", bodyMost)
@@ -368,8 +367,10 @@
 	return nil, false, bad("the body could not be read")
 }
 
-// request takes one request and gives its one final answer.
-func (s *server) request(w http.ResponseWriter, in *http.Request, c *clientConn, req balancer.Request, m *message) {
+// request takes one request and gives its one final answer. left is closed when its client
+// leaves and net/http can't tell; it may be nil.
+func (s *server) request(w http.ResponseWriter, in *http.Request, c *clientConn, left <-chan struct{},
+	req balancer.Request, m *message) {
 	id := in.Header.Get("X-Correlation-Id")
 	s.mu.Lock()
 	open := s.ids[id]
@@ -384,7 +385,7 @@
 		delete(s.ids, id)
 		s.mu.Unlock()
 	}()
-	r := &request{answer: make(chan answer, 1), message: m, gone: c.gone}
+	r := &request{answer: make(chan answer, 1), message: m, gone: c.hasLeft}
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	var failed chan error
 	if m.upload != nil {
@@ -397,8 +398,11 @@
 		if m.upload != nil {
 			defer s.hearOut(w, c, m.upload)
 		}
+		// Clients send one request at a time. What came behind this one is no request:
+		// only the client's own word says that it is one.
+		behind := c.give()
 		late := m.upload != nil && !(m.upload.finished.Load() && c.alone(m.upload.length))
-		if late || s.clients.crowded() || s.leaving() {
+		if behind || late || s.clients.crowded() || s.leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -416,6 +420,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		reject(w, in, bad("the body could not be read"))
+	case <-left:
+		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
+		panic(http.ErrAbortHandler)
 	case <-in.Context().Done():
 		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
 		// A client that has only stopped sending must not read a whole answer
