One budget of 6 s for hearing of a change, and the calls' waits, patience and pauses made from it

To blame: listPatience and waitMost in discovery.go and the pauses of ask and retryAsk in balancer.go, each a part of ask-within or a constant of its own. They now come from HearWithin in api.go, where the sums stand: 2.7 s for a call, 2 s for a watch and 0.5 s more, and for the pause what these leave.

Over the fleet: a quiet watch makes one call in 1.5 to 2 s in place of 6 to 8. While discovery is out of reach a sidecar calls 0.75 times a second at most, spread (test, 350 of them).

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -6,6 +6,22 @@
 // arbitrary origin chosen by the host; the host's clock never runs backwards.
 type Micros = int64
 
+// The time for hearing of a change. By the protocol it counts as told HearWithin after discovery has it and can be
+// reached, whatever became of the calls before. What may lie between: a call that hangs or a watch that has fallen
+// silent just before, a pause, and a call that waits for its turn at discovery. So the pause has what these leave:
+//
+//	after a call that hung:       HearWithin - 2 CallPatience                        = 0.6 s at most
+//	after a watch fell silent:    HearWithin - WatchWait - WatchSlack - CallPatience = 0.8 s at most
+//	after a call refused at once: HearWithin - CallPatience                          = 3.3 s at most
+//
+// Over a fleet, quiet watches make one call each in 1.5 to 2 s.
+const (
+	HearWithin   Micros = 6_000_000
+	CallPatience        = HearWithin * 9 / 20 // with a call that asks at once
+	WatchWait           = HearWithin / 3      // that a call may wait for news,
+	WatchSlack          = HearWithin / 12     // and be late with telling that there is none
+)
+
 // Repeat says what a second run of a request of a class would do.
 type Repeat uint8
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -50,7 +50,7 @@
 	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
 	if b.s.Subscribe {                                 // all may start at once: spread their first calls
-		b.askIn(now, 1+b.rng.below(b.s.Contract.AskWithin/10))
+		b.askIn(now, 1+b.rng.below(min(b.s.Contract.AskWithin/10, HearWithin/6)))
 	}
 	if b.s.Limits.Probes {
 		b.out.Timer(1+b.rng.below(probeGap), tokenProbe)
@@ -376,14 +376,15 @@
 
 func (b *Balancer) ask(now Micros) {
 	if b.s.Subscribe && !b.subscribed && now >= b.askAt {
+		b.askedAt = now
 		b.out.Watch(true)
 		// The answer may be lost, and without one we would never hear again.
-		b.askIn(now, 1+b.s.Contract.AskWithin/2+b.rng.below(b.s.Contract.AskWithin/4))
+		b.askIn(now, 1+HearWithin/2+b.rng.below(HearWithin/10))
 	}
 }
 
-// retryAsk asks discovery again, later each time and never in step with others. What a subscription that
-// broke has missed may count as told already: the first try falls well within the time that is left for it.
+// retryAsk asks discovery again, later each time and never in step with others, but in time for the change
+// that the call which failed may have missed: see HearWithin.
 func (b *Balancer) retryAsk(now Micros) {
 	if b.s.Subscribe {
 		first := b.s.Contract.AskWithin / 20
@@ -393,7 +394,12 @@
 		if b.askWait = min(2*b.askWait, b.s.Contract.AskWithin/4); b.askWait == 0 {
 			b.askWait = first
 		}
-		b.askIn(now, 1+b.askWait/2+b.rng.below(b.askWait))
+		used := min(now-b.askedAt, CallPatience)
+		if b.subscribed {
+			used = WatchWait + WatchSlack
+		}
+		wait := min(b.askWait, (HearWithin-CallPatience-used)*2/3)
+		b.askIn(now, 1+wait/2+b.rng.below(wait))
 	}
 }
 
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -35,6 +35,7 @@
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
+	askedAt    Micros // the latest one
 	askWait    Micros
 
 	classes  []classStats
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -36,6 +36,7 @@
 	fields []string      // of a load report, in the order of Settings.Fields
 	idle   time.Duration // after which an endpoint may close a connection
 
+	wait time.Duration                                                        // that a call of discovery waits for news; 0: by the settings
 	dial func(ctx context.Context, network, address string) (net.Conn, error) // discovery; nil: by the network
 }
 
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,22 +18,17 @@
 const (
 	listMost = 8 << 20 // bytes of a list
 
-	// A call is held for news so long that a list is never older than the settings allow one
-	// without a watch, even where the call falls silent; less of it now and then, so that
-	// sidecars that began together do not go on in step.
-	waitLeast  = time.Second
-	waitMost   = time.Minute // by the protocol
-	waitSpread = 4           // a part of the wait
-
-	// A call that asks at once waits for its turn at discovery. After SIGHUP all counts as told
-	// in 4 s: the first call to a new address must be over before that.
-	listPatience = 3500 * time.Millisecond
-
-	// What a silent call misses counts as told 2 s after its wait. Without news it is answered
-	// within milliseconds of that, so that one this late is broken, and the rest is left for
-	// another call, its tries and its turn at discovery.
+	// A call is held for news so long that, should it fall silent, its change is heard of in time
+	// all the same, and never for so long that a list is older than the settings allow one without
+	// a watch; less of it now and then, so that sidecars that began together do not go on in step.
+	waitLeast     = time.Second
+	waitSpread    = 4 // a part of the wait
 	toldAfterWait = 2 * time.Second
-	watchPatience = toldAfterWait / 4
+
+	// The balancer's parts of the time for hearing of a change.
+	waitMost      = time.Duration(balancer.WatchWait) * time.Microsecond
+	watchPatience = time.Duration(balancer.WatchSlack) * time.Microsecond
+	listPatience  = time.Duration(balancer.CallPatience) * time.Microsecond
 
 	// A discovery that has lost its versions begins to count anew. An older version is not
 	// believed for as long as a failed call stands for its watch, or, after SIGHUP, for most
@@ -170,6 +165,9 @@
 		older:  olderPeriods * time.Duration(cfg.Settings.Contract.AskWithin) * time.Microsecond,
 		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DialContext: cfg.dial}}}
 	d.wait = max(waitLeast, min(waitMost, time.Duration(cfg.Settings.Contract.AskWithin)*time.Microsecond-toldAfterWait))
+	if cfg.wait > 0 {
+		d.wait = cfg.wait
+	}
 	if !cfg.Settings.Subscribe {
 		d.patience, d.rest = pushedTimes(time.Duration(cfg.Settings.Contract.DrainGrace) * time.Microsecond)
 	}
--- /dev/null
+++ b/internal/sidecar/hear_test.go
@@ -0,0 +1,116 @@
+//go:build go1.25
+
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// outage is a way in which discovery can be out of reach, and back.
+type outage struct {
+	begin, end func(dir *silence)
+	turn       time.Duration // that calls wait for once it is back, where lists are asked for
+}
+
+func (s *silence) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+var outages = map[string]outage{
+	"silent once":             {func(dir *silence) { dir.silenced() }, func(*silence) {}, 0},
+	"silent once, overbooked": {func(dir *silence) { dir.silenced() }, func(dir *silence) {}, 2 * time.Second},
+	"reset once":              {func(dir *silence) { dir.reset() }, func(*silence) {}, 0},
+	"refused": {func(dir *silence) { dir.set(func() { dir.down = true }); dir.reset() },
+		func(dir *silence) { dir.set(func() { dir.down = false }) }, 0},
+	"refused, overbooked": {func(dir *silence) { dir.set(func() { dir.down = true }); dir.reset() },
+		func(dir *silence) { dir.set(func() { dir.down = false }) }, 2 * time.Second},
+	"refused late": {func(dir *silence) { dir.set(func() { dir.down, dir.turn = true, time.Second }); dir.reset() },
+		func(dir *silence) { dir.set(func() { dir.down, dir.turn = false, 0 }) }, 0},
+	"hanging": {func(dir *silence) { dir.listen(false); dir.reset() }, func(dir *silence) { dir.listen(true) }, 0},
+	"hanging, overbooked": {func(dir *silence) { dir.listen(false); dir.reset() },
+		func(dir *silence) { dir.listen(true) }, 2 * time.Second},
+}
+
+// Whatever has become of the calls before, a change is applied 6 s after discovery has it and
+// can be reached at the latest, the first second of which the tests do without.
+func TestChangesAreHeardInTime(t *testing.T) {
+	const within = 6 * time.Second
+	settings := map[string]func(map[string]any){}
+	for name, alter := range deployments {
+		settings[name] = alter
+	}
+	for name, us := range map[string]int{"1 s": 1_000_000, "60 s": 60_000_000} {
+		settings["asked, ask-within "+name] = func(s map[string]any) {
+			s["contract"].(map[string]any)["ask-within"] = us
+		}
+	}
+	for what, o := range outages {
+		for name, alter := range settings {
+			t.Run(what+", "+name, func(t *testing.T) {
+				for seed := range uint64(12) {
+					synctest.Test(t, func(t *testing.T) {
+						dir, dial := newSilence(t)
+						l := watching(t, dial, alter, seed)
+						dir.watched()
+						time.Sleep(time.Duration(seed) * 170 * time.Millisecond)
+						o.begin(dir)
+						// How long it is out of reach falls into every part of a call and a pause.
+						time.Sleep(time.Duration(seed%6) * (6*time.Second + 510*time.Millisecond))
+						if l.cfg.Settings.Subscribe {
+							dir.set(func() { dir.turn = o.turn })
+						}
+						dir.drain()
+						o.end(dir)
+						reached := time.Now()
+						for !barred(l, "s-1") {
+							if took := time.Since(reached); took > within {
+								t.Fatalf("seed %d: a change is not heard of %v after discovery could be reached", seed, took)
+							}
+							time.Sleep(20 * time.Millisecond)
+						}
+					})
+				}
+			})
+		}
+	}
+}
+
+// While discovery is out of reach, the calls of a fleet that lost it at once stay spread,
+// and few enough for it to answer those that wait when it is back.
+func TestCallsOfAFleetStaySpread(t *testing.T) {
+	const sidecars, span = 350, 20 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		dir, dial := newSilence(t)
+		for seed := range uint64(sidecars) {
+			watching(t, dial, deployments["asked, grace 2 s"], seed)
+		}
+		time.Sleep(5 * time.Second)
+		dir.set(func() { dir.down = true })
+		dir.reset()
+		time.Sleep(10 * time.Second)
+		dir.set(func() { dir.calls = nil })
+		time.Sleep(span)
+		dir.mu.Lock()
+		defer dir.mu.Unlock()
+		slots := map[int64]int{}
+		for _, c := range dir.calls {
+			slots[c.at.UnixMilli()/100]++
+		}
+		most := 0
+		for _, n := range slots {
+			most = max(most, n)
+		}
+		mean := float64(len(dir.calls)) / span.Seconds() / sidecars
+		if mean > 0.75 || float64(most) > 3*mean*sidecars/10 {
+			t.Errorf("%.2f calls a second of each sidecar, up to %d of all within 0.1 s", mean, most)
+		}
+		if len(dir.calls) == 0 {
+			t.Error(fmt.Sprint("no calls at all"))
+		}
+	})
+}
