Bound slow start by the sum over all processes, also for late starters and what staff put back

To blame, in balancer.go: chilled, where a new endpoint began with nothing to its name, so that all processes sent it all until it had as much as the others, and where sends that were saved came at once; Cordon, where ten processes sent one at once however few the endpoint could bear.

--- /dev/null
+++ b/balancer/fleet_test.go
@@ -0,0 +1,238 @@
+package balancer
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"testing"
+)
+
+// event is something that happens to one balancer of a fleet.
+type event struct {
+	at Micros
+	do func(now Micros)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// fleet is many balancers on one clock, and endpoints that answer all of them after a
+// time that their load makes.
+type fleet struct {
+	s       Settings
+	now     Micros
+	events  events
+	members []*member
+	list    []Endpoint
+	busy    map[uint32]int      // requests held
+	got     map[uint32][]Micros // requests begun
+	rng     source
+	work    float64 // of each request
+}
+
+// member is the host of one balancer.
+type member struct {
+	f *fleet
+	b *Balancer
+	n map[uint64]int // attempts
+}
+
+func newFleet(t *testing.T, s Settings, balancers int, work float64, list []Endpoint) *fleet {
+	t.Helper()
+	f := &fleet{s: s, list: list, work: work, busy: map[uint32]int{}, got: map[uint32][]Micros{}, rng: 5}
+	f.s.Balancers = balancers
+	for i := range balancers {
+		m := &member{f: f, n: map[uint64]int{}}
+		var err error
+		if m.b, err = New(f.s, uint64(i)+1, m); err != nil {
+			t.Fatal(err)
+		}
+		f.members = append(f.members, m)
+		m.b.Start(0)
+		m.b.Members(0, ListCached, list)
+		m.b.Members(0, ListFull, list)
+	}
+	return f
+}
+
+func (f *fleet) after(delay Micros, do func(now Micros)) {
+	heap.Push(&f.events, event{f.now + max(1, delay), do})
+}
+
+func (f *fleet) run(until Micros) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do(e.at)
+	}
+	f.now = until
+}
+
+// traffic has requests come at this rate over all balancers, some of which get several
+// times the mean of the others.
+func (f *fleet) traffic(rate float64, until Micros) {
+	id := uint64(0)
+	var next func(now Micros)
+	next = func(now Micros) {
+		id++
+		at := f.rng.float()
+		m := f.members[int(at*at*float64(len(f.members)))]
+		m.b.Request(now, Request{ID: id, Deadline: now + second})
+		if now < until {
+			f.after(Micros(-math.Log(1-f.rng.float())/rate*float64(second)), next)
+		}
+	}
+	f.after(1, next)
+}
+
+// warmth is the least share of its capacity that an endpoint has.
+func (f *fleet) warmth(id uint32, now Micros) float64 {
+	from := f.s.Contract.ColdFrom
+	for _, e := range f.list {
+		if e.ID == id && e.StartTime != 0 && now >= e.StartTime && now-e.StartTime < f.s.Contract.RampTime {
+			return from + (1-from)*float64(now-e.StartTime)/float64(f.s.Contract.RampTime)
+		}
+	}
+	return 1
+}
+
+func (m *member) Send(id uint64, endpoint uint32, _ Micros) {
+	f, attempt, begun := m.f, m.n[id], m.f.now
+	m.n[id]++
+	f.got[endpoint] = append(f.got[endpoint], begun)
+	f.busy[endpoint]++
+	took := Micros(f.work * float64(f.busy[endpoint]) / f.warmth(endpoint, begun))
+	f.after(took, func(now Micros) {
+		f.busy[endpoint]--
+		m.b.Outcome(now, Outcome{ID: id, Attempt: attempt, Endpoint: endpoint, Status: OK, Latency: took, Settled: true})
+	})
+}
+
+func (m *member) Probe(endpoint uint32) {
+	m.f.after(500, func(now Micros) {
+		m.b.Probed(now, endpoint, OK, 500, []float32{float32(m.f.busy[endpoint])})
+	})
+}
+
+func (m *member) Timer(delay Micros, token uint32) {
+	m.f.after(delay, func(now Micros) { m.b.Timer(now, token) })
+}
+
+func (m *member) Refuse(uint64, Micros) {}
+func (m *member) Fail(uint64)           {}
+func (m *member) Cancel(uint64, int)    {}
+func (m *member) Watch(bool)            {}
+func (m *member) Log(string)            {}
+
+// pushedOver finds the first endpoint that got more than it may have in any window, while
+// cold: N by the settings, and what is put down to chance.
+func (f *fleet) pushedOver() (err error, worst float64) {
+	c := f.s.Contract
+	for id, at := range f.got {
+		first := 0
+		for i, now := range at {
+			for at[first] <= now-c.OverloadFor {
+				first++
+			}
+			w := f.warmth(id, at[first])
+			if w == 1 {
+				continue
+			}
+			n := c.FallMultiple * w * float64(c.OverloadFor) / f.work
+			got := float64(i - first + 1)
+			worst = max(worst, got/(n+2*math.Sqrt(n)+2))
+			if got > n+2*math.Sqrt(n)+2 && err == nil {
+				err = fmt.Errorf("endpoint %d got %.0f requests by %.2f s, N is %.1f", id, got, float64(now)/1e6, n)
+			}
+		}
+	}
+	return err, worst
+}
+
+// Whatever the number of processes, what all of them send to a cold endpoint stays under
+// what it may get: where one starts alone, where many start one after the other, and where
+// one comes back that staff had left out.
+func TestColdEndpointsBearTheSumOfAllProcesses(t *testing.T) {
+	cold := 0 // requests to cold endpoints
+	for _, balancers := range []int{4, 30, 300} {
+		for _, work := range []float64{25_000, 150_000} { // many requests may go there at first, or few
+			for name, start := range map[string]func(f *fleet){
+				"one starts": func(f *fleet) { f.join(1, 0) },
+				"many start one after the other": func(f *fleet) {
+					f.join(30, 200_000)
+				},
+				"a late one": func(f *fleet) {
+					f.join(30, 0)
+					f.after(6*second, func(Micros) { f.join(1, 0) })
+				},
+				"one by one after a quiet time": func(f *fleet) {
+					f.join(4, 4*second)
+				},
+				"one is put back": func(f *fleet) {
+					for _, m := range f.members {
+						m.b.Cordon(f.now, 1, true, f.now)
+					}
+					f.after(2*second, func(now Micros) {
+						f.list[0].StartTime = now
+						for _, m := range f.members {
+							m.b.Cordon(now, 1, false, now)
+						}
+					})
+				},
+			} {
+				t.Run(fmt.Sprintf("%s, %d processes, work %.0f ms", name, balancers, work/1000), func(t *testing.T) {
+					s := testSettings()
+					s.Classes = []Class{{Name: "read", Repeat: Safe, Aim: Micros(6 * work), GiveUp: second, Worth: 1}}
+					s.Limits.SecondCopies = false
+					s.Contract.ColdFrom, s.Contract.RampTime, s.Contract.OverloadFor = 0.13, 22*second, 1_500_000
+					s.Contract.FallMultiple = 3
+					var list []Endpoint
+					for i := range 40 {
+						list = append(list, Endpoint{ID: uint32(i + 1), Name: uint64(i + 1), Share: 1})
+					}
+					f := newFleet(t, s, balancers, work, list)
+					f.traffic(1.0*40*float64(second)/work, 14*second)
+					f.run(4 * second)
+					start(f)
+					f.run(14 * second)
+					err, worst := f.pushedOver()
+					if err != nil {
+						t.Error(err)
+					}
+					t.Logf("worst %.2f", worst)
+					for _, e := range f.list {
+						if e.StartTime != 0 {
+							cold += len(f.got[e.ID])
+						}
+					}
+				})
+			}
+		}
+	}
+	if cold < 1000 {
+		t.Errorf("the cold endpoints got %d requests in all: too few to tell", cold)
+	}
+}
+
+// join has so many endpoints start, so far apart.
+func (f *fleet) join(n int, apart Micros) {
+	for i := range n {
+		f.after(Micros(i)*apart, func(now Micros) {
+			id := uint32(len(f.list) + 1)
+			f.list = append(f.list, Endpoint{ID: id, Name: uint64(id), Share: 1, StartTime: now})
+			for _, m := range f.members {
+				m.b.Members(now, ListDelta, f.list[len(f.list)-1:])
+			}
+		})
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -27,6 +27,7 @@
 	turn     *endpoint                  // the cold one that may be sent to next
 	spare    float64                    // work that all cold ones together may still get,
 	spareAt  Micros                     // as of then
+	level    float64                    // least work that one of the cold ones got, for its warmth; 0 where none is cold
 	chill    ewma                       // of the slowness that the least warmth of a cold endpoint makes, the part that shows
 	chills   int                        // latencies in that
 	largest  float64                    // share of any listed endpoint
