Let a connection to an endpoint rest for 20 ms after an answer: a second one comes late

To blame: upstream.go, reserve, which looks for bytes that nobody asked for at the instant of the next request only. Where that comes ahead of the second answer, it was given the answer of the request before it. A connection that was used less than 20 ms ago is now passed over for one that has rested, or a new one; sidecars see some tens of requests a second over many endpoints, so that few meet one so soon.

The test has the second answer come behind whatever is written next: without the rest the second request is given the first one's answer. Other tests, which use connections again at once, have it off.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -26,6 +26,7 @@
 	headMost     = 32 << 10               // bytes of a request's head
 	answerMost   = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
 	answerRest   = 100 * time.Millisecond // without a byte of an answer that has begun: four round trips between sites
+	answerPause  = 20 * time.Millisecond  // a connection rests after an answer: a second one comes some milliseconds late
 	interimMost  = 10                     // interim answers ahead of one that counts
 	figureMost   = 1e6                    // a larger figure in a load report is an error
 	probeTimeout = 400 * time.Millisecond
@@ -37,7 +38,8 @@
 // each such repetition would be an attempt that the balancer never decided.
 type upstream struct {
 	dialer   net.Dialer
-	idleMost time.Duration // idle connections are not used for longer
+	idleMost time.Duration // idle connections are not used for longer,
+	rest     time.Duration // nor for so long after an answer
 	fields   []string      // of load reports
 	room     *budget       // for the bodies of answers
 
@@ -123,8 +125,8 @@
 		dialer: net.Dialer{Timeout: time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond},
 		// An endpoint closes an idle connection when its time is over at the
 		// latest, and what is written to it from then on is lost.
-		idleMost: cfg.idle * 3 / 4,
-		fields:   cfg.fields, room: room, most: connections, idle: map[*target][]*conn{},
+		idleMost: cfg.idle * 3 / 4, rest: answerPause,
+		fields: cfg.fields, room: room, most: connections, idle: map[*target][]*conn{},
 	}
 }
 
@@ -263,9 +265,19 @@
 	if t.closed {
 		return nil, errClosed
 	}
-	for list := u.idle[t]; len(list) > 0; list = u.idle[t] {
-		c := list[len(list)-1]
-		u.idle[t] = list[:len(list)-1]
+	// What was answered just now may get a second answer, which would be taken for that of the
+	// next request: it rests, and the latest of those that have rested is used.
+	for {
+		list := u.idle[t]
+		i := len(list) - 1
+		for i >= 0 && time.Since(list[i].idleAt) < u.rest {
+			i--
+		}
+		if i < 0 {
+			break
+		}
+		c := list[i]
+		u.idle[t] = slices.Delete(list, i, i+1)
 		if time.Since(c.idleAt) < u.idleMost && c.alive() {
 			return c, nil
 		}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,7 +20,9 @@
 
 func newTestUpstream(t *testing.T, most int) *upstream {
 	cfg := configure(t, "127.0.0.1:1", nil)
-	return newUpstream(cfg, most, newBudget(cfg))
+	u := newUpstream(cfg, most, newBudget(cfg))
+	u.rest = 0 // most tests use a connection again at once
+	return u
 }
 
 func get(path string) *message {
@@ -391,6 +394,31 @@
 // rest comes with the answer or after the connection was given back: the next
 // request would be answered with what was made for another.
 func TestNothingBeyondAnAnswerIsTakenForTheNext(t *testing.T) {
+	t.Run("after the next request", func(t *testing.T) {
+		var begun atomic.Bool
+		e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+			for r := e.next(in); r != nil; r = e.next(in) {
+				if begun.CompareAndSwap(false, true) { // a second answer, behind whatever request comes next
+					io.WriteString(conn, strings.Replace(served, "done", "one.", 1))
+					e.next(in)
+					io.WriteString(conn, strings.Replace(served, "done", "one.", 1))
+				}
+				io.WriteString(conn, strings.Replace(served, "done", r.URL.Path[1:5], 1))
+			}
+		})
+		u, at := newTestUpstream(t, 4), &target{address: e.address}
+		u.rest = time.Hour // so that the next request comes in that time, however slow the machine is
+		if r := u.attempt(context.Background(), at, get("/one."), &gate{}); r.status != balancer.OK || string(r.body) != "one." {
+			t.Fatalf("first: status %v, body %q", r.status, r.body)
+		}
+		if r := u.attempt(context.Background(), at, get("/two."), &gate{}); r.status != balancer.OK || string(r.body) != "two." {
+			t.Errorf("second: status %v, body %q", r.status, r.body)
+		}
+		u.rest = 0 // it has rested
+		if r := u.attempt(context.Background(), at, get("/thr."), &gate{}); r.status != balancer.OK || string(r.body) != "thr." {
+			t.Errorf("third: status %v, body %q", r.status, r.body)
+		}
+	})
 	for name, late := range map[string]bool{"at once": false, "later": true} {
 		t.Run(name, func(t *testing.T) {
 			rest := make(chan struct{})
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -355,6 +355,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	w.loop.up.rest = 0 // most tests use a connection again at once
 	w.spy = &spy{decider: w.loop.balancer}
 	w.loop.balancer = w.spy
 	w.server = newServer(w.loop)
