Add stand-ins for discovery, endpoints and clients of a local emulator

Cause: what a fleet of sidecars spends can't be seen without the services around it. Change: internal/emulator/registry lists endpoints by whole lists and watches and plays discovery's faults; internal/emulator/endpoint takes requests and probes at a settable pace and plays the faults of a process and its machine; internal/emulator/load is an open-loop load generator; internal/emulator/httpconn is what the two servers share.

--- /dev/null
+++ b/internal/emulator/load/load_test.go
@@ -0,0 +1,231 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"peatpost/internal/emulator/endpoint"
+)
+
+// target serves requests by a handler and returns its address.
+func target(t *testing.T, handle http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handle)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func run(t *testing.T, ctx context.Context, plan Plan) *Report {
+	t.Helper()
+	report, err := Run(ctx, plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func requests(t *testing.T, plan Plan) []request {
+	t.Helper()
+	plan, err := plan.withDefaults()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []request
+	made := newSchedule(plan)
+	for next, more := made.next(); more; next, more = made.next() {
+		all = append(all, next)
+	}
+	return all
+}
+
+func TestScheduleFollowsThePlan(t *testing.T) {
+	plan := Plan{Targets: []string{"a", "b"}, Rate: 1000, Duration: 10 * time.Second, Seed: 7, Tenants: []string{"t1", "t2"},
+		Classes: []Class{{Name: "search", Share: 3}, {Name: "checkout", Keyed: true, Share: 1}}}
+	all := requests(t, plan)
+	if len(all) < 9500 || len(all) > 10500 {
+		t.Errorf("%d requests, want about 10000", len(all))
+	}
+	seen := map[string]int{}
+	for _, one := range all {
+		seen[one.target]++
+		seen[one.tenant]++
+		seen[one.class.Name]++
+		if keyed := one.class.Name == "checkout"; (one.key != "") != keyed || (one.class.Method == http.MethodPost) != keyed {
+			t.Fatalf("request %+v", one)
+		}
+	}
+	if part := float64(seen["search"]) / float64(len(all)); part < 0.72 || part > 0.78 {
+		t.Errorf("part of the class with three quarters: %.3f", part)
+	}
+	if seen["a"] == 0 || seen["b"] == 0 || seen["t1"] == 0 || seen["t2"] == 0 {
+		t.Errorf("seen %v", seen)
+	}
+	if !reflect.DeepEqual(all, requests(t, plan)) {
+		t.Error("another schedule for the same seed")
+	}
+	plan.Arrivals, plan.MaxRequests = Fixed, 3
+	if fixed := requests(t, plan); len(fixed) != 3 || fixed[2].after != 3*time.Millisecond {
+		t.Errorf("fixed arrivals: %+v", fixed)
+	}
+}
+
+func TestPlansThatCannotBeRun(t *testing.T) {
+	for name, plan := range map[string]Plan{
+		"no target":   {Rate: 1, MaxRequests: 1},
+		"no rate":     {Targets: []string{"a"}, MaxRequests: 1},
+		"no end":      {Targets: []string{"a"}, Rate: 1},
+		"unnamed":     {Targets: []string{"a"}, Rate: 1, MaxRequests: 1, Classes: []Class{{Share: 1}}},
+		"share of 0":  {Targets: []string{"a"}, Rate: 1, MaxRequests: 1, Classes: []Class{{Name: "x"}}},
+		"share below": {Targets: []string{"a"}, Rate: 1, MaxRequests: 1, Classes: []Class{{Name: "x", Share: -1}}},
+	} {
+		if report, err := Run(context.Background(), plan); err == nil {
+			t.Errorf("%s: got %+v", name, report)
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	address := target(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/full":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/bad":
+			w.WriteHeader(http.StatusInternalServerError)
+		case "/other":
+			_, _ = io.WriteString(w, "an answer to another request")
+		case "/slow":
+			<-r.Context().Done()
+		case "/cut":
+			panic(http.ErrAbortHandler)
+		default:
+			_, _ = io.WriteString(w, r.Header.Get("X-Correlation-Id"))
+		}
+	})
+	for name, want := range map[string]Counts{
+		"good":  {Planned: 4, Served: 4},
+		"full":  {Planned: 4, Refused: 4},
+		"bad":   {Planned: 4, Failed: 4},
+		"other": {Planned: 4, Mismatched: 4},
+		"slow":  {Planned: 4, TimedOut: 4},
+		"cut":   {Planned: 4, Broken: 4},
+	} {
+		class := Class{Name: name, Share: 1}
+		if name == "slow" {
+			class.GiveUp = 20 * time.Millisecond
+		}
+		report := run(t, context.Background(), Plan{Targets: []string{address}, Rate: 10000, MaxRequests: 4, Classes: []Class{class}})
+		got := report.Counts
+		if got.Connections == 0 || got.BytesOut == 0 || uint64(report.Latency.Count()) != want.Served || report.Ended.Count() != 4 {
+			t.Errorf("%s: report %+v", name, report)
+		}
+		got.Connections, got.BytesIn, got.BytesOut = 0, 0, 0
+		if got != want || got.Lost() != want.TimedOut+want.Broken {
+			t.Errorf("%s: got %+v, want %+v", name, got, want)
+		}
+	}
+}
+
+func TestLatencyCountsFromTheIntendedStart(t *testing.T) {
+	const serviceTime = 10 * time.Millisecond
+	address := target(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(serviceTime)
+		_, _ = io.WriteString(w, r.Header.Get("X-Correlation-Id"))
+	})
+	report := run(t, context.Background(), Plan{Targets: []string{address}, Rate: 1000, MaxRequests: 5, MaxInFlight: 1, Arrivals: Fixed})
+	const least = 5*serviceTime - 4*time.Millisecond
+	if report.Counts.Served != 5 || report.Latency.Max() < least || report.Lateness.Max() < least-serviceTime {
+		t.Errorf("counts %+v, latency %v at most, lateness %v", report.Counts, report.Latency.Max(), report.Lateness.Max())
+	}
+}
+
+func TestARequestMeetingAClosedConnectionIsSentOnceMore(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
+				id := r.Header.Get("X-Correlation-Id")
+				_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n"+id)
+			}
+			socket.Close()
+		}
+	}()
+	plan := Plan{Targets: []string{listener.Addr().String()}, Rate: 10000, MaxRequests: 3, MaxInFlight: 1}
+	if got := run(t, context.Background(), plan).Counts; got.Served != 3 || got.Resent != 2 || got.Connections != 3 {
+		t.Errorf("got %+v", got)
+	}
+	plan.Direct = true
+	if got := run(t, context.Background(), plan).Counts; got.Served != 2 || got.Broken != 1 || got.Resent != 0 {
+		t.Errorf("direct: got %+v", got)
+	}
+}
+
+func TestARunEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	address := target(t, func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	})
+	report := run(t, ctx, Plan{Targets: []string{address}, Rate: 100, Duration: time.Hour,
+		Classes: []Class{{Name: "x", Share: 1, GiveUp: time.Hour}}})
+	if got := report.Counts; got.Cancelled == 0 || got.Cancelled != got.Planned {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestDirectToAnEndpoint(t *testing.T) {
+	e, err := endpoint.Start(endpoint.Config{Name: "s-1", Address: "127.0.0.1:0", Cores: 8, QueueLimit: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	report := run(t, context.Background(), Plan{Targets: []string{e.Address()}, Rate: 2000, MaxRequests: 50, Direct: true, Seed: 1,
+		Classes: []Class{{Name: "search", Share: 1}, {Name: "checkout", Keyed: true, Share: 1}}})
+	if got := e.Counts(); report.Counts.Served != 50 || got.Requests != 50 || got.Duplicates != 0 ||
+		report.Counts.BytesOut != got.BytesIn || !report.Direct {
+		t.Errorf("generator %+v, endpoint %+v", report.Counts, got)
+	}
+}
+
+func TestReportsMergeAcrossProcesses(t *testing.T) {
+	first, second := NewReport(), NewReport()
+	first.Counts = Counts{Planned: 2, Served: 2}
+	first.Latency.Record(time.Millisecond)
+	second.Counts = Counts{Planned: 3, TimedOut: 3}
+	second.Latency.Record(time.Second)
+	encoded, err := json.Marshal(second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received Report
+	if err := json.Unmarshal(encoded, &received); err != nil {
+		t.Fatal(err)
+	}
+	first.Merge(&received)
+	if got := first.Counts; got.Planned != 5 || got.Served != 2 || got.Lost() != 3 {
+		t.Errorf("counts %+v", got)
+	}
+	if got := first.Latency; got.Count() != 2 || got.Quantile(0.5) != time.Millisecond || got.Max().Round(time.Millisecond) != time.Second {
+		t.Errorf("latency: %d, median %v, longest %v", got.Count(), got.Quantile(0.5), got.Max())
+	}
+	if err := json.Unmarshal([]byte(`{"latency":"`+strings.Repeat("x", 9)+`"}`), &received); err == nil {
+		t.Error("a histogram that is none was read")
+	}
+}
