--- /dev/null
+++ b/internal/emulator/imports_test.go
@@ -0,0 +1,24 @@
+// Package emulator_test checks what the emulator must not touch.
+package emulator_test
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// TestTheSidecarDoesWithoutTheEmulator keeps the emulator and what it requires out of
+// the sidecar's own packages.
+func TestTheSidecarDoesWithoutTheEmulator(t *testing.T) {
+	listed, err := exec.Command("go", "list", "-deps", "peatpost/balancer", "peatpost/internal/sidecar", "peatpost/cmd/pinedale").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range strings.Fields(string(listed)) {
+		domain, _, _ := strings.Cut(name, "/")
+		required := strings.Contains(domain, ".")
+		if required || strings.HasPrefix(name, "peatpost/internal/emulator") {
+			t.Errorf("the sidecar depends on %s", name)
+		}
+	}
+}
