Emulator stand-ins: exact vanishing, readiness, idle close and finer arrivals

The runtime's timers made requests start 0.5 ms late at the median. Endpoints close idle connections after a settable time. The generator sleeps the last 2 ms of a wait in the system, and waits for sidecars to be ready. Tests of refused framing, of readiness and of idle closing.

--- a/internal/emulator/endpoint/config.go
+++ b/internal/emulator/endpoint/config.go
@@ -17,6 +17,7 @@
 	ServiceTime time.Duration // of each request on a core
 	QueueLimit  int           // requests that wait for a core; any more are turned away
 	ReportLoad  bool          // answers and /stats tell the load
+	IdleTimeout time.Duration // after which an idle connection is closed; 0: never
 
 	// From its start an endpoint that is cold has ColdShare of its capacity, which
 	// grows linearly to all of it over WarmUp. 0: always warm.
--- a/internal/emulator/endpoint/endpoint.go
+++ b/internal/emulator/endpoint/endpoint.go
@@ -29,8 +29,7 @@
 	serving     sync.WaitGroup
 
 	mu       sync.Mutex
-	listener *net.TCPListener // nil while the process is dead
-	filler   net.Conn         // of the backlog, while it has vanished
+	acceptor *acceptor // nil while the process is dead
 	work     *queue
 	born     time.Time // of the last start; zero for long ago
 	draining bool
@@ -103,18 +102,12 @@
 	if e.closed {
 		return ErrClosed
 	}
-	if e.vanished || e.listener == nil {
+	if e.vanished || e.acceptor == nil {
 		return nil
 	}
 	e.freeze()
-	filler, err := stopAnswering(e.listener)
-	if err != nil {
-		e.thaw()
-		return err
-	}
-	e.filler = filler
 	e.vanished = true
-	return nil
+	return e.acceptor.silence()
 }
 
 // Hang stops the process, or lets it go on: while it hangs, connections come up and
@@ -123,7 +116,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.vanished || e.listener == nil:
+	case e.vanished || e.acceptor == nil:
 	case hang:
 		e.freeze()
 	default:
@@ -140,7 +133,7 @@
 	switch {
 	case e.closed:
 		return ErrClosed
-	case e.listener == nil:
+	case e.acceptor == nil:
 		return e.start(time.Now())
 	case e.vanished:
 		e.stop()
@@ -179,12 +172,12 @@
 
 // start begins a life of the process. e.mu is held.
 func (e *Endpoint) start(born time.Time) error {
-	listener, err := listen(e.address)
+	opened, err := listen(e.address)
 	if err != nil {
 		return err
 	}
-	e.listener = listener
-	e.address = listener.Addr().String()
+	e.acceptor = opened
+	e.address = opened.listener.Addr().String()
 	e.born = born
 	e.draining = false
 	e.work = &queue{
@@ -193,21 +186,17 @@
 		serviceTime: func(now time.Time) time.Duration { return e.config.serviceTimeAt(now.Sub(born)) },
 	}
 	e.serving.Add(1)
-	go e.accept(listener)
+	go e.accept(opened)
 	return nil
 }
 
 // stop ends a life of the process. e.mu is held.
 func (e *Endpoint) stop() {
-	if e.listener == nil {
+	if e.acceptor == nil {
 		return
 	}
-	_ = e.listener.Close()
-	e.listener = nil
-	if e.filler != nil {
-		_ = e.filler.Close()
-		e.filler = nil
-	}
+	e.acceptor.close()
+	e.acceptor = nil
 	e.connections.ResetAll()
 	e.vanished = false
 	e.gate.open()
@@ -216,26 +205,25 @@
 // freeze holds up all goroutines that serve. e.mu is held.
 func (e *Endpoint) freeze() {
 	e.gate.shut()
-	// It fails only on a closed listener, which accepts nothing anyway.
-	_ = e.listener.SetDeadline(past)
+	e.acceptor.pause()
 }
 
 // thaw lets them go on. e.mu is held.
 func (e *Endpoint) thaw() {
-	_ = e.listener.SetDeadline(time.Time{})
+	e.acceptor.resume()
 	e.gate.open()
 }
 
-// accept serves the connections of a listener until that is closed.
-func (e *Endpoint) accept(listener *net.TCPListener) {
+// accept serves the connections of one life until that ends.
+func (e *Endpoint) accept(from *acceptor) {
 	defer e.serving.Done()
 	for {
 		e.gate.pass()
-		socket, err := listener.Accept()
+		socket, err := from.accept()
 		var timeout net.Error
 		switch {
 		case err == nil:
-			e.enter(listener, httpconn.New(socket, &e.traffic))
+			e.enter(from, httpconn.New(socket, &e.traffic))
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.As(err, &timeout) && timeout.Timeout(): // frozen
@@ -245,11 +233,11 @@
 	}
 }
 
-// enter begins to serve a connection, unless the listener's life is over.
-func (e *Endpoint) enter(listener *net.TCPListener, c *httpconn.Conn) {
+// enter begins to serve a connection, unless the acceptor's life is over.
+func (e *Endpoint) enter(from *acceptor, c *httpconn.Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.listener != listener {
+	if e.acceptor != from {
 		c.Reset()
 		return
 	}
--- a/internal/emulator/endpoint/endpoint_test.go
+++ b/internal/emulator/endpoint/endpoint_test.go
@@ -21,14 +21,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		if err := e.Close(); err != nil {
-			t.Error(err)
-		}
-	})
+	t.Cleanup(func() { succeed(t, e.Close) })
 	return e
 }
 
+func succeed(t *testing.T, do func() error) {
+	t.Helper()
+	if err := do(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // reply is what came of a request.
 type reply struct {
 	status int
@@ -40,11 +43,12 @@
 // client sends requests to an endpoint on kept connections.
 type client struct {
 	http.Client
+	t       *testing.T
 	address string
 }
 
 func newClient(t *testing.T, e *Endpoint) *client {
-	c := &client{address: e.Address()}
+	c := &client{t: t, address: e.Address()}
 	c.Transport = &http.Transport{}
 	t.Cleanup(c.CloseIdleConnections)
 	return c
@@ -70,6 +74,16 @@
 	return reply{response.StatusCode, response.Header, string(body), err}
 }
 
+// expect sends a request that has to be answered so; 503 has to say that it has not run.
+func (c *client) expect(status int, path, id string) {
+	c.t.Helper()
+	got := c.send(http.MethodGet, path, id)
+	rejected := got.header.Get(unprocessedHeader) == "1"
+	if got.status != status || rejected != (status == http.StatusServiceUnavailable && id != "") {
+		c.t.Errorf("%s: got %+v, want %d", path, got, status)
+	}
+}
+
 // begin sends a request in the background.
 func (c *client) begin(id string) <-chan reply {
 	result := make(chan reply, 1)
@@ -126,9 +140,7 @@
 	awaitInFlight(t, e, "inflight=1")
 	queued := c.begin("id2")
 	awaitInFlight(t, e, "inflight=2")
-	if got := c.send("GET", "/search", "id3"); got.status != 503 || got.header.Get(unprocessedHeader) != "1" {
-		t.Errorf("got %+v", got)
-	}
+	c.expect(503, "/search", "id3")
 	e.connections.ResetAll()
 	for _, result := range []<-chan reply{running, queued} {
 		if got := <-result; got.err == nil {
@@ -174,66 +186,75 @@
 	e := start(t, Config{})
 	c := newClient(t, e)
 	e.Drain()
-	if got := c.send("GET", "/search", "id1"); got.status != 503 || got.header.Get(unprocessedHeader) != "1" {
-		t.Errorf("got %+v", got)
-	}
-	if got := c.send("GET", "/health/live", ""); got.status != 503 {
-		t.Errorf("probe got %+v", got)
-	}
-	if err := e.Return(); err != nil {
-		t.Fatal(err)
-	}
-	if got := c.send("GET", "/search", "id1"); got.status != 200 {
-		t.Errorf("got %+v", got)
-	}
+	c.expect(503, "/search", "id1")
+	c.expect(503, "/health/live", "")
+	succeed(t, e.Return)
+	c.expect(200, "/search", "id1")
 }
 
 func TestRestart(t *testing.T) {
 	e := start(t, Config{ServiceTime: time.Hour})
 	c := newClient(t, e)
-	if e.BornMS() != 0 {
-		t.Errorf("born at %d", e.BornMS())
-	}
 	result := c.begin("id1")
 	awaitInFlight(t, e, "inflight=1")
-	if err := e.Restart(); err != nil {
-		t.Fatal(err)
+	if e.BornMS() != 0 {
+		t.Errorf("born at %d", e.BornMS())
 	}
+	succeed(t, e.Restart)
 	if got := <-result; !errors.Is(got.err, syscall.ECONNRESET) {
 		t.Errorf("got %+v", got)
 	}
-	if e.BornMS() == 0 || e.Address() != c.address {
-		t.Errorf("born at %d, at %s", e.BornMS(), e.Address())
-	}
-	if got := c.send("GET", "/health/live", ""); got.status != 200 {
+	c.expect(200, "/health/live", "")
+	restarted := e.BornMS()
+	e.Crash()
+	if got := c.send("GET", "/health/live", ""); !errors.Is(got.err, syscall.ECONNREFUSED) {
 		t.Errorf("got %+v", got)
 	}
+	succeed(t, e.Return)
+	c.expect(200, "/health/live", "")
+	if born := e.BornMS(); restarted == 0 || born < restarted || e.Address() != c.address {
+		t.Errorf("born at %d and %d, at %s", restarted, born, e.Address())
+	}
 }
 
-func TestCrash(t *testing.T) {
-	e := start(t, Config{})
-	c := newClient(t, e)
-	e.Crash()
-	if got := c.send("GET", "/search", "id1"); !errors.Is(got.err, syscall.ECONNREFUSED) {
-		t.Errorf("got %+v", got)
-	}
-	if err := e.Return(); err != nil {
+func TestAnIdleConnectionIsClosed(t *testing.T) {
+	e := start(t, Config{IdleTimeout: time.Millisecond})
+	socket, err := net.Dial("tcp", e.Address())
+	if err != nil {
 		t.Fatal(err)
 	}
-	if got := c.send("GET", "/search", "id1"); got.status != 200 || e.BornMS() == 0 {
-		t.Errorf("got %+v, born at %d", got, e.BornMS())
+	defer socket.Close()
+	if _, err := socket.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("reading gave %v, want the end", err)
+	}
+	await(t, "closed connection", func() bool { return e.Counts().Connections.Open == 0 })
+}
+
+func TestRequestsThatEndTheConnection(t *testing.T) {
+	e := start(t, Config{ServiceTime: time.Hour, Cores: 9})
+	for name, sent := range map[string]string{
+		"malformed": "GET\r\n\r\n",
+		"too large": "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537),
+		"pipelined": strings.Repeat("GET /x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: id1\r\n\r\n", 2),
+	} {
+		socket, err := net.Dial("tcp", e.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		_, _ = io.WriteString(socket, sent) // it may be cut off
+		if got, _ := io.ReadAll(socket); len(got) > 0 {
+			t.Errorf("%s: answered %q", name, got)
+		}
 	}
 }
 
 func TestVanish(t *testing.T) {
 	e := start(t, Config{})
 	c := newClient(t, e)
-	if got := c.send("GET", "/search", "id1"); got.status != 200 {
-		t.Fatalf("got %+v", got)
-	}
-	if err := e.Vanish(); err != nil {
-		t.Fatal(err)
-	}
+	c.expect(200, "/search", "id1")
+	await(t, "first answer", func() bool { return e.Counts().Served == 1 })
+	succeed(t, e.Vanish)
 	before := e.Counts()
 	silent := c.begin("id2") // on the connection it has
 	await(t, "byte of a request", func() bool { return e.Counts().BytesIn > before.BytesIn })
@@ -245,14 +266,13 @@
 	if after := e.Counts(); after.BytesOut != before.BytesOut {
 		t.Errorf("%d bytes sent while it had vanished", after.BytesOut-before.BytesOut)
 	}
-	if err := e.Return(); err != nil {
-		t.Fatal(err)
-	}
+	succeed(t, e.Return)
 	if got := <-silent; !errors.Is(got.err, syscall.ECONNRESET) {
 		t.Errorf("got %+v", got)
 	}
-	if got := c.send("GET", "/search", "id3"); got.status != 200 || e.BornMS() != 0 {
-		t.Errorf("got %+v, born at %d", got, e.BornMS())
+	c.expect(200, "/search", "id3")
+	if e.BornMS() != 0 {
+		t.Error("born anew")
 	}
 }
 
--- a/internal/emulator/endpoint/memory_test.go
+++ b/internal/emulator/endpoint/memory_test.go
@@ -1,7 +1,7 @@
 package endpoint
 
 import (
-	"net"
+	"net/netip"
 	"runtime"
 	"testing"
 
@@ -20,20 +20,13 @@
 		b.Fatal(err)
 	}
 	defer e.Close()
-	address, err := net.ResolveTCPAddr("tcp", e.Address())
-	if err != nil {
-		b.Fatal(err)
-	}
+	port := netip.MustParseAddrPort(e.Address()).Port()
 	for b.Loop() {
 		before := memoryInUse()
-		descriptors := make([]int, 0, idleConnections)
 		for range idleConnections {
-			descriptors = append(descriptors, exchange(b, address.Port))
+			defer unix.Close(exchange(b, int(port)))
 		}
 		b.ReportMetric(float64(memoryInUse()-before)/idleConnections, "B/connection")
-		for _, descriptor := range descriptors {
-			_ = unix.Close(descriptor)
-		}
 	}
 }
 
--- a/internal/emulator/endpoint/serve.go
+++ b/internal/emulator/endpoint/serve.go
@@ -29,10 +29,11 @@
 
 // serveNext answers one request and says whether the connection is kept.
 func (e *Endpoint) serveNext(c *httpconn.Conn) bool {
-	c.WakeAt(time.Time{})
+	c.WakeAt(e.idleUntil())
 	if c.AwaitRequest() != nil {
 		return false
 	}
+	c.WakeAt(time.Time{})
 	e.gate.pass()
 	request, err := c.ReadRequest()
 	if err != nil {
@@ -41,6 +42,14 @@
 	return e.answer(c, request) == nil && !request.Close
 }
 
+// idleUntil is when a connection that is idle from now on is closed; zero: never.
+func (e *Endpoint) idleUntil() time.Time {
+	if e.config.IdleTimeout <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(e.config.IdleTimeout)
+}
+
 // answer answers one request or probe.
 func (e *Endpoint) answer(c *httpconn.Conn, request *http.Request) error {
 	if isProbe(request) {
--- a/internal/emulator/httpconn/conn.go
+++ b/internal/emulator/httpconn/conn.go
@@ -110,8 +110,8 @@
 // Wake ends AwaitWake, also one that is still to come, until WakeAt is called.
 func (c *Conn) Wake() { c.WakeAt(past) }
 
-// WakeAt ends AwaitWake at a time; the zero time means never. AwaitRequest fails at
-// that time too, so the zero time has to be set before it is called.
+// WakeAt ends AwaitWake at a time; the zero time means never. AwaitRequest and
+// ReadRequest fail at that time, unless it is set anew before.
 func (c *Conn) WakeAt(at time.Time) {
 	// It fails only on a closed connection, where reads end by themselves.
 	_ = c.socket.SetReadDeadline(at)
--- a/internal/emulator/load/generator.go
+++ b/internal/emulator/load/generator.go
@@ -8,9 +8,14 @@
 	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// timerSlack is how late the runtime's timers may be, which count in milliseconds while
+// the process is idle. The system's sleep, which ctx can't end, takes the last of a wait.
+const timerSlack = 2 * time.Millisecond
+
 // generator is a run of a plan.
 type generator struct {
 	plan     Plan
@@ -75,17 +80,20 @@
 
 // sleepUntil waits for a time and says whether ctx lasts until then.
 func sleepUntil(ctx context.Context, timer *time.Timer, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
+	if coarse := time.Until(at) - timerSlack; coarse > 0 {
+		timer.Reset(coarse)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return false
+		}
 	}
-	timer.Reset(wait)
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	for rest := time.Until(at); rest > 0; rest = time.Until(at) {
+		left := syscall.NsecToTimespec(rest.Nanoseconds())
+		// A sleep that a signal ends is gone on with.
+		_ = syscall.Nanosleep(&left, nil)
 	}
+	return ctx.Err() == nil
 }
 
 // takeSlot waits until a request more may be in flight, as long as it has time.
--- a/internal/emulator/load/load_test.go
+++ b/internal/emulator/load/load_test.go
@@ -1,15 +1,15 @@
 package load
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,7 +24,7 @@
 	return server.Listener.Addr().String()
 }
 
-func run(t *testing.T, ctx context.Context, plan Plan) *Report {
+func run(ctx context.Context, t *testing.T, plan Plan) *Report {
 	t.Helper()
 	report, err := Run(ctx, plan)
 	if err != nil {
@@ -122,7 +122,7 @@
 		if name == "slow" {
 			class.GiveUp = 20 * time.Millisecond
 		}
-		report := run(t, context.Background(), Plan{Targets: []string{address}, Rate: 10000, MaxRequests: 4, Classes: []Class{class}})
+		report := run(context.Background(), t, Plan{Targets: []string{address}, Rate: 10000, MaxRequests: 4, Classes: []Class{class}})
 		got := report.Counts
 		if got.Connections == 0 || got.BytesOut == 0 || uint64(report.Latency.Count()) != want.Served || report.Ended.Count() != 4 {
 			t.Errorf("%s: report %+v", name, report)
@@ -140,7 +140,7 @@
 		time.Sleep(serviceTime)
 		_, _ = io.WriteString(w, r.Header.Get("X-Correlation-Id"))
 	})
-	report := run(t, context.Background(), Plan{Targets: []string{address}, Rate: 1000, MaxRequests: 5, MaxInFlight: 1, Arrivals: Fixed})
+	report := run(context.Background(), t, Plan{Targets: []string{address}, Rate: 1000, MaxRequests: 5, MaxInFlight: 1, Arrivals: Fixed})
 	const least = 5*serviceTime - 4*time.Millisecond
 	if report.Counts.Served != 5 || report.Latency.Max() < least || report.Lateness.Max() < least-serviceTime {
 		t.Errorf("counts %+v, latency %v at most, lateness %v", report.Counts, report.Latency.Max(), report.Lateness.Max())
@@ -148,30 +148,21 @@
 }
 
 func TestARequestMeetingAClosedConnectionIsSentOnceMore(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
-				id := r.Header.Get("X-Correlation-Id")
-				_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n"+id)
-			}
-			socket.Close()
+	address := target(t, func(w http.ResponseWriter, r *http.Request) {
+		socket, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
 		}
-	}()
-	plan := Plan{Targets: []string{listener.Addr().String()}, Rate: 10000, MaxRequests: 3, MaxInFlight: 1}
-	if got := run(t, context.Background(), plan).Counts; got.Served != 3 || got.Resent != 2 || got.Connections != 3 {
+		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n"+r.Header.Get("X-Correlation-Id"))
+		_ = socket.Close()
+	})
+	plan := Plan{Targets: []string{address}, Rate: 10000, MaxRequests: 3, MaxInFlight: 1}
+	if got := run(context.Background(), t, plan).Counts; got.Served != 3 || got.Resent != 2 || got.Connections != 3 {
 		t.Errorf("got %+v", got)
 	}
 	plan.Direct = true
-	if got := run(t, context.Background(), plan).Counts; got.Served != 2 || got.Broken != 1 || got.Resent != 0 {
+	if got := run(context.Background(), t, plan).Counts; got.Served != 2 || got.Broken != 1 || got.Resent != 0 {
 		t.Errorf("direct: got %+v", got)
 	}
 }
@@ -183,20 +174,37 @@
 		cancel()
 		<-r.Context().Done()
 	})
-	report := run(t, ctx, Plan{Targets: []string{address}, Rate: 100, Duration: time.Hour,
+	report := run(ctx, t, Plan{Targets: []string{address}, Rate: 100, Duration: time.Hour,
 		Classes: []Class{{Name: "x", Share: 1, GiveUp: time.Hour}}})
 	if got := report.Counts; got.Cancelled == 0 || got.Cancelled != got.Planned {
 		t.Errorf("got %+v", got)
 	}
 }
 
+func TestAwaitReady(t *testing.T) {
+	var asked atomic.Int32
+	address := target(t, func(w http.ResponseWriter, _ *http.Request) {
+		if asked.Add(1) < 3 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if err := AwaitReady(context.Background(), []string{address}); err != nil || asked.Load() != 3 {
+		t.Errorf("asked %d times, %v", asked.Load(), err)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := AwaitReady(ended, []string{address}); !errors.Is(err, context.Canceled) {
+		t.Errorf("after the end of its context: %v", err)
+	}
+}
+
 func TestDirectToAnEndpoint(t *testing.T) {
 	e, err := endpoint.Start(endpoint.Config{Name: "s-1", Address: "127.0.0.1:0", Cores: 8, QueueLimit: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer e.Close()
-	report := run(t, context.Background(), Plan{Targets: []string{e.Address()}, Rate: 2000, MaxRequests: 50, Direct: true, Seed: 1,
+	report := run(context.Background(), t, Plan{Targets: []string{e.Address()}, Rate: 2000, MaxRequests: 50, Direct: true, Seed: 1,
 		Classes: []Class{{Name: "search", Share: 1}, {Name: "checkout", Keyed: true, Share: 1}}})
 	if got := e.Counts(); report.Counts.Served != 50 || got.Requests != 50 || got.Duplicates != 0 ||
 		report.Counts.BytesOut != got.BytesIn || !report.Direct {
--- /dev/null
+++ b/internal/emulator/load/ready.go
@@ -0,0 +1,53 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	readyPath    = "/health/ready"
+	readyTimeout = time.Second // of one question
+	readyPause   = 50 * time.Millisecond
+)
+
+// AwaitReady returns once each of the sidecars has said that it is ready, as an
+// application waits for its own before it sends. It fails when ctx ends.
+func AwaitReady(ctx context.Context, targets []string) error {
+	transport := &http.Transport{DisableKeepAlives: true}
+	client := &http.Client{Transport: transport, Timeout: readyTimeout}
+	for _, target := range targets {
+		if err := awaitReady(ctx, client, target); err != nil {
+			return fmt.Errorf("load: %s is not ready: %w", target, err)
+		}
+	}
+	return nil
+}
+
+func awaitReady(ctx context.Context, client *http.Client, target string) error {
+	pause := time.NewTicker(readyPause)
+	defer pause.Stop()
+	for !isReady(ctx, client, target) {
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, client *http.Client, target string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+readyPath, nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/internal/emulator/registry/registry_test.go
+++ b/internal/emulator/registry/registry_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -16,12 +15,12 @@
 // world is a Server that listens, and a client with connections of its own.
 type world struct {
 	*Server
-	t       *testing.T
+	t       testing.TB
 	address string
 	client  http.Client
 }
 
-func newWorld(t *testing.T, options Options) *world {
+func newWorld(t testing.TB, options Options) *world {
 	t.Helper()
 	w := &world{Server: New(options), t: t}
 	w.client.Transport = &http.Transport{}
@@ -94,6 +93,13 @@
 	}
 }
 
+func (w *world) refuse(query string) {
+	w.t.Helper()
+	if got := w.call(query); got.status != http.StatusServiceUnavailable {
+		w.t.Errorf("%s: got %+v", query, got)
+	}
+}
+
 func instance(name, health string) Instance {
 	return Instance{Host: name, Dial: "127.0.0.1:1", Site: "a", Class: "m", Health: health, Share: 1}
 }
@@ -147,9 +153,7 @@
 func TestCallsThatWaitTooLongAreRefused(t *testing.T) {
 	w := newWorld(t, Options{CallsPerSecond: 0.001, MaxQueueDelay: time.Millisecond})
 	w.expect(w.call(""), 0, true)
-	if got := w.call(""); got.status != http.StatusServiceUnavailable {
-		t.Errorf("got %+v", got)
-	}
+	w.refuse("")
 	if got := w.Counts(); got.Unavailable != 1 || got.WholeAnswers != 1 {
 		t.Errorf("counts %+v", got)
 	}
@@ -168,17 +172,18 @@
 
 func TestDown(t *testing.T) {
 	w := newWorld(t, Options{})
-	result := w.hold("?after=0&wait_ms=60000")
-	w.SetDown(true)
-	if got := <-result; !errors.Is(got.err, syscall.ECONNRESET) {
-		t.Errorf("watch ended with %+v", got)
-	}
-	if got := w.call("?after=0&wait_ms=60000"); got.status != http.StatusServiceUnavailable {
-		t.Errorf("got %+v", got)
+	for _, fail := range []func(){w.ResetConnections, func() { w.SetDown(true) }} {
+		result := w.hold("?after=0&wait_ms=60000")
+		fail()
+		if got := <-result; !errors.Is(got.err, syscall.ECONNRESET) {
+			t.Errorf("watch ended with %+v", got)
+		}
+		w.await("end of the watch", func() bool { return w.held() == 0 })
 	}
+	w.refuse("?after=0&wait_ms=60000")
 	w.SetDown(false)
 	w.expect(w.call(""), 0, true)
-	if got := w.Counts(); got.Reset != 1 || got.Unavailable != 1 {
+	if got := w.Counts(); got.Reset != 2 || got.Unavailable != 1 {
 		t.Errorf("counts %+v", got)
 	}
 }
@@ -196,20 +201,10 @@
 	w.expect(<-result, 1, false, "x=Ready")
 }
 
-func TestResetConnections(t *testing.T) {
-	w := newWorld(t, Options{})
-	result := w.hold("?after=0&wait_ms=60000")
-	w.ResetConnections()
-	if got := <-result; !errors.Is(got.err, syscall.ECONNRESET) {
-		t.Errorf("watch ended with %+v", got)
-	}
-}
-
 func TestMove(t *testing.T) {
 	w := newWorld(t, Options{})
 	w.moveGrace = 0
 	result := w.hold("?after=0&wait_ms=60000")
-	old := w.address
 	to, err := w.Move("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -218,7 +213,7 @@
 		t.Errorf("the old address answered %+v", got)
 	}
 	if got := w.call(""); !errors.Is(got.err, syscall.ECONNREFUSED) {
-		t.Errorf("the old address %s gave %+v", old, got)
+		t.Errorf("the old address gave %+v", got)
 	}
 	w.address = to.String()
 	w.expect(w.call(""), 0, true)
@@ -233,35 +228,19 @@
 	}
 }
 
-// largeList is as many instances as the largest fleet has.
-func largeList() []Instance {
+func benchmarkCall(b *testing.B, query string) {
+	w := newWorld(b, Options{})
 	instances := make([]Instance, 860)
 	for i := range instances {
 		instances[i] = instance(fmt.Sprintf("s-%08x", i), Ready)
 	}
-	return instances
-}
-
-func benchmarkCall(b *testing.B, query string) {
-	server := New(Options{})
-	defer server.Close()
-	address, err := server.Listen("127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	server.Set(largeList())
-	w := world{Server: server, address: address.String()}
+	w.Set(instances)
 	for b.Loop() {
-		response, err := w.client.Get("http://" + w.address + listPath + query)
-		if err != nil {
-			b.Fatal(err)
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			b.Fatal(err)
+		if got := w.call(query); got.err != nil {
+			b.Fatal(got.err)
 		}
-		response.Body.Close()
 	}
-	b.ReportMetric(float64(server.Counts().HandlingCPU.Nanoseconds())/float64(b.N), "cpu-ns/call")
+	b.ReportMetric(float64(w.Counts().HandlingCPU.Nanoseconds())/float64(b.N), "cpu-ns/call")
 }
 
 func BenchmarkWholeList(b *testing.B)  { benchmarkCall(b, "") }
