Bound what one answer teaches of pace and work

Cause: without hints a class's work falls with every answer that comes within the time of a probe, without end. A request with a tiny hint did the same. Once the work had underflowed, the pace became NaN for good. Change: a class's work is taken for no less than a thousandth of its aim, and one answer counts in it for no more than five times the work. A request of less than a tenth of its class's work tells of the pace as if it had that. attempt.factor gives way to the crowding alone; TestColdEndpointsGetByTheWarmthThatTheyShow sets that field.

--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -898,7 +898,7 @@
 		serve := func(e *endpoint, took Micros) {
 			r := b.newRequest(now, request0(uint64(now)+1, 0, now))
 			r.work = 80_000
-			a := attempt{ep: e, at: now, cold: e.isCold, factor: r.work, plain: r.work}
+			a := attempt{ep: e, at: now, cold: e.isCold, crowding: 1, plain: r.work}
 			b.learnPace(now+took, r, &a, float64(took), false)
 			now += 1000
 		}
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -9,7 +9,9 @@
 	paceWeight  = 0.03
 	fleetWeight = 0.02
 	workWeight  = 0.01
-	cores       = 2.0 // requests that an endpoint works at side by side, assumed
+	minWork     = 0.001 // of its aim: no class's work is taken for less
+	minPaceWork = 0.1   // of its class's work: a request of less tells of the pace as if it had this
+	cores       = 2.0   // requests that an endpoint works at side by side, assumed
 	trustWeight = 0.005
 	trendWeight = 0.1
 	trendStep   = 5.0 // one outcome counts as no more than this many times the prediction
@@ -53,19 +55,21 @@
 
 // learnPace learns from a latency; atLeast says that it is only a lower bound.
 func (b *Balancer) learnPace(now Micros, r *request, a *attempt, latency float64, atLeast bool) {
-	e := a.ep
-	x := max(0, latency-b.ways[e.Zone].v) / a.factor
+	e, c := a.ep, &b.classes[r.Class]
+	alone := max(0, latency-b.ways[e.Zone].v) / a.crowding
+	// What a request of next to no work takes beyond the prediction was not spent on that work.
+	pace, slowed := e.paceNow(now, b), e.slowed(now, b)
+	x := pace + (alone-pace*r.work)/max(r.work, minPaceWork*c.work.v)
 	// One that was overtaken may be lost, and then says nothing of how fast e is, or the fleet.
-	if atLeast && (x <= e.paceNow(now, b) || e.answered > a.at) {
+	if atLeast && (x <= pace || e.answered > a.at) {
 		return
 	}
 	b.follow(now, latency/a.plain)
 	if !atLeast && r.hint != 0 && x > 0 {
 		// Rough hints overstate the large and understate the small: learn how far they tell.
-		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/e.paceNow(now, b))))
+		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/pace)))
 	}
-	slowed := e.slowed(now, b) // what is kept is the pace once warm
-	warm := e.paceNow(now, b) / slowed
+	warm := pace / slowed // what is kept is the pace once warm
 	e.pace = ewma{v: warm, seen: true}
 	e.pace.add(x/slowed, paceWeight)
 	if least := e.warmth(now, b); least < 1 && warm > 0 {
@@ -77,8 +81,10 @@
 		return
 	}
 	if !r.HasHint {
-		// Without hints a class's work is its mean latency on an endpoint without a queue.
-		b.classes[r.Class].work.add(x*r.work, workWeight)
+		// Without hints a class's work is its mean latency on an endpoint without a queue. Pace and work grow by
+		// the same answer, and the prediction by their product: one must not do much to the work.
+		least, most := minWork*float64(b.class(r).Aim), trendStep*c.work.v
+		c.work.add(min(max(least, alone), most), workWeight)
 	}
 	if !e.isCold {
 		b.fleet.add(x, fleetWeight)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -100,7 +100,7 @@
 	at       Micros
 	expected float64 // latency predicted when sent,
 	plain    float64 // and by the endpoint's pace and load alone
-	factor   float64 // work times the crowding seen when sent
+	crowding float64 // seen when sent
 	lateAt   Micros  // when it should have had its outcome long ago
 	doubted  bool    // that has passed once
 	late     bool    // it is given up for lost, though its outcome may still come
