--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -136,7 +136,7 @@
 
 // pushedOver finds the first endpoint that got more than it may have in any window, while
 // cold: N by the settings, and what is put down to chance.
-func (f *fleet) pushedOver() (err error, worst float64) {
+func (f *fleet) pushedOver() (worst float64, err error) {
 	c := f.s.Contract
 	for id, at := range f.got {
 		first := 0
@@ -156,7 +156,7 @@
 			}
 		}
 	}
-	return err, worst
+	return worst, err
 }
 
 // Whatever the number of processes, what all of them send to a cold endpoint stays under
@@ -205,7 +205,7 @@
 					f.run(4 * second)
 					start(f)
 					f.run(14 * second)
-					err, worst := f.pushedOver()
+					worst, err := f.pushedOver()
 					if err != nil {
 						t.Error(err)
 					}
--- a/internal/sidecar/hear_test.go
+++ b/internal/sidecar/hear_test.go
@@ -3,7 +3,6 @@
 package sidecar
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -111,7 +110,7 @@
 			t.Errorf("%.2f calls a second of each sidecar, up to %d of all within 0.1 s", mean, most)
 		}
 		if len(dir.calls) == 0 {
-			t.Error(fmt.Sprint("no calls at all"))
+			t.Error("no calls at all")
 		}
 	})
 }
