Let go of closed connections to endpoints

Cause: a connection that made room for another was cut off its endpoint's list by a new slice header. The array kept it and its buffer of 8 kB, one for each endpoint that had ever had a connection: 8 MB of the 12 MB of live heap in TestLargeFleet, whose peak came to 28.5 to 29.2 MB of its 32 MB on an idle machine. Change: closed connections are deleted from the array, by one function for all three places that drop the oldest; an endpoint without idle connections leaves the map, so that the search for one to close finds it at once.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -277,7 +277,7 @@
 			break
 		}
 		c := list[i]
-		u.idle[t] = slices.Delete(list, i, i+1)
+		u.setIdle(t, slices.Delete(list, i, i+1))
 		if time.Since(c.idleAt) < u.idleMost && c.alive() {
 			return c, nil
 		}
@@ -288,12 +288,9 @@
 		most -= most / probeSpares
 	}
 	if u.open >= most {
-		for other, list := range u.idle {
-			if len(list) > 0 {
-				u.idle[other] = list[1:]
-				u.drop(list[0])
-				break
-			}
+		for other := range u.idle {
+			u.dropOldest(other, 1)
+			break
 		}
 	}
 	if u.open >= most {
@@ -311,11 +308,7 @@
 	defer u.mu.Unlock()
 	u.most = most
 	for t, list := range u.idle {
-		for len(list) > 0 && u.open > most {
-			u.drop(list[0])
-			list = list[1:]
-		}
-		u.idle[t] = list
+		u.dropOldest(t, max(0, min(len(list), u.open-most)))
 	}
 }
 
@@ -325,6 +318,25 @@
 	u.open--
 }
 
+// dropOldest closes the connections to t that have been idle for longest, so many of them. It holds u.mu.
+func (u *upstream) dropOldest(t *target, count int) {
+	list := u.idle[t]
+	for _, c := range list[:count] {
+		u.drop(c)
+	}
+	// Not list[count:]: the array would keep the closed connections and their buffers.
+	u.setIdle(t, slices.Delete(list, 0, count))
+}
+
+// setIdle keeps the idle connections to t; none takes no room. It holds u.mu.
+func (u *upstream) setIdle(t *target, list []*conn) {
+	if len(list) == 0 {
+		delete(u.idle, t)
+		return
+	}
+	u.idle[t] = list
+}
+
 // release keeps a connection for the next request, or closes it.
 func (u *upstream) release(c *conn, keep bool) {
 	u.mu.Lock()
@@ -356,10 +368,9 @@
 	for t, list := range u.idle {
 		old := 0 // the longest idle come first
 		for old < len(list) && time.Since(list[old].idleAt) >= u.idleMost {
-			u.drop(list[old])
 			old++
 		}
-		u.idle[t] = slices.Delete(list, 0, old)
+		u.dropOldest(t, old)
 	}
 }
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+	"weak"
 
 	"peatpost/balancer"
 )
@@ -328,6 +330,47 @@
 	}
 }
 
+// A closed connection gives its memory back: where endpoints are many, most of them had one.
+func TestClosedConnectionsAreNotKept(t *testing.T) {
+	const endpoints, maxOpen = 20, 4
+	for _, c := range []struct {
+		name string
+		drop func(u *upstream)
+		kept int
+	}{
+		{"to make room", func(*upstream) {}, maxOpen},
+		{"beyond a lower limit", func(u *upstream) { u.limit(1) }, 1},
+		{"idle for too long", func(u *upstream) { u.idleMost = 0; u.prune() }, 0},
+	} {
+		u := newTestUpstream(t, maxOpen)
+		var all []weak.Pointer[conn]
+		for range endpoints {
+			e := newEndpoint(t, always(served))
+			to := &target{address: e.address}
+			if r := u.attempt(t.Context(), to, get("/"), &gate{}); r.status != balancer.OK {
+				t.Fatalf("%s: status %v", c.name, r.status)
+			}
+			all = append(all, weak.Make(u.idle[to][0]))
+		}
+		c.drop(u)
+		// Their contexts and pollers let go of them a moment later.
+		await(t, "closed connections to be collected, "+c.name, func() bool {
+			runtime.GC()
+			kept := 0
+			for _, p := range all {
+				if p.Value() != nil {
+					kept++
+				}
+			}
+			return kept <= c.kept
+		})
+		if len(u.idle) != c.kept {
+			t.Errorf("%s: %d endpoints have idle connections, want %d", c.name, len(u.idle), c.kept)
+		}
+		runtime.KeepAlive(u)
+	}
+}
+
 // A send that waited for its connection must not start once its endpoint drains.
 func TestDrainDuringDial(t *testing.T) {
 	e := newEndpoint(t, always(served))
