Split the sidecar's upstream.go into files with one job each

Cause: 680 lines held the connection pool, the exchange on a connection, the encoding of messages, the parsing of load reports and the mapping of outcomes. Result: the tests of connections, outcomes, probes and drains pass; go vet names nothing.

--- /dev/null
+++ b/internal/sidecar/exchange.go
@@ -0,0 +1,236 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"time"
+)
+
+// One exchange on a connection: the request written, the answer read and found whole.
+
+const (
+	bodyMost    = 64 << 20               // bytes of a request's or an answer's body
+	answerMost  = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
+	answerRest  = 100 * time.Millisecond // without a byte of an answer that has begun: four round trips between sites
+	interimMost = 10                     // interim answers ahead of one that counts
+)
+
+// Read reads with a limit on the time without a byte, where there is one.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.stall > 0 {
+		c.SetReadDeadline(time.Now().Add(c.stall))
+		if err := c.ctx.Err(); err != nil {
+			return 0, err // the deadline that tells so may have been overwritten
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+// received is an answer, whole or begun.
+type received struct {
+	response *http.Response
+	body     []byte
+	rest     *rest
+	held     func()
+}
+
+// exchange writes one request on a connection and reads the answer, or its
+// beginning. It gives the connection back unless there is a rest.
+func (u *upstream) exchange(ctx context.Context, c *conn, m *message, g *gate) (got *received, err error) {
+	keep := false
+	c.ctx, c.limit.N = ctx, answerMost+holdMost
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes a read or write
+	defer func() {
+		c.stall = 0
+		kept := stop()
+		if err == nil && got.rest != nil {
+			if kept {
+				got.rest.keep, c.ctx, c.stall = keep, context.Background(), restStall
+				return
+			}
+			if got.held != nil {
+				got.held()
+			}
+			err = ctx.Err()
+		}
+		if kept && keep {
+			c.SetReadDeadline(time.Time{})
+		}
+		u.release(c, kept && keep)
+	}()
+
+	data, err := m.encode(ctx)
+	if err != nil {
+		return nil, &unsentError{err}
+	}
+	// What has come by now was not asked for, and must not be taken for the answer.
+	if c.used && !c.alive() {
+		return nil, errStale
+	}
+	if err := u.pass(ctx, g, c.target); err != nil {
+		return nil, &unsentError{err}
+	}
+	if n, err := c.Write(data); n < len(data) {
+		return nil, &unsentError{err}
+	}
+	if m.upload != nil {
+		if err := u.send(c, m); err != nil {
+			return nil, err
+		}
+		// From here on the request's time runs.
+		m.upload.at = time.Now()
+		m.upload.written()
+		timed, cancel := context.WithDeadline(ctx, time.Now().Add(m.upload.left))
+		defer cancel()
+		c.ctx = timed
+		wake := context.AfterFunc(timed, func() { c.SetDeadline(time.Unix(1, 0)) })
+		defer func() {
+			if wake() {
+				return
+			}
+			if keep = false; err != nil && over(timed) {
+				err = errOver
+			}
+		}()
+	}
+	if got, err = u.receive(c, m.method); err != nil {
+		return nil, err
+	}
+	// Anything beyond the answer makes the connection useless: endpoints may send
+	// a second copy, or noise.
+	keep = !got.response.Close && got.response.StatusCode != http.StatusSwitchingProtocols &&
+		(got.rest != nil || c.reader.Buffered() == 0)
+	return got, nil
+}
+
+// send passes a request's body on while it comes. Until its last byte is written
+// the request never ran; an endpoint that answers before that, or ends the
+// connection, has done with it.
+func (u *upstream) send(c *conn, m *message) error {
+	sent := make(chan error, 1)
+	go func() {
+		err := m.passOn(c)
+		c.SetReadDeadline(time.Unix(1, 0)) // wakes the look below
+		sent <- err
+	}()
+	_, early := c.reader.Peek(1)
+	if m.upload.phase.CompareAndSwap(passing, stopped) {
+		select {
+		case err := <-sent:
+			return &unsentError{err}
+		default:
+		}
+		if early == nil {
+			early = errEarly
+		}
+		return &unsentError{early}
+	}
+	if err := <-sent; err != nil {
+		return &unsentError{err}
+	}
+	c.SetDeadline(time.Time{})
+	return c.ctx.Err() // that it is over may just have been overwritten
+}
+
+// receive reads one answer. A 200 must prove that it is whole: by one stated length
+// or complete chunks, or by an end of the connection that it has announced; not by
+// two of them, of which http.ReadResponse hides one. Of a large one, or one that
+// there is no room for, the rest is left to be read.
+func (u *upstream) receive(c *conn, method string) (*received, error) {
+	for range interimMost {
+		c.stall = 0
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		// An answer that has begun and stalls would hold its request until the
+		// client's time is up.
+		c.stall = answerRest
+		head, err := c.head()
+		if err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			c.SetReadDeadline(time.Time{})
+			continue
+		}
+		if response.ContentLength > bodyMost {
+			return nil, errLarge
+		}
+		if response.StatusCode != http.StatusOK {
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, holdMost+1))
+			if err == nil && n > holdMost {
+				err = errLarge
+			}
+			return &received{response: response}, err
+		}
+		closes := response.ProtoMinor == 0 || head.closing
+		if head.lengths > 1 || head.lengths == 1 && head.coding || head.lengths == 0 && !head.coding && !closes {
+			return nil, errors.New("the answer's length is not stated in one way")
+		}
+		c.limit.N = math.MaxInt64
+		return u.hold(c, response)
+	}
+	return nil, errors.New("interim answers without end")
+}
+
+// hold reads an answer's body whole where that is small, and else its beginning.
+func (u *upstream) hold(c *conn, response *http.Response) (*received, error) {
+	got := &received{response: response}
+	begin := func() { got.rest = &rest{up: u, conn: c, body: response.Body, left: bodyMost - int64(len(got.body))} }
+	size := response.ContentLength
+	if size < 0 {
+		size = holdMost
+	}
+	if size > holdMost || !u.room.take(size) {
+		// Its first byte is worth waiting for: an endpoint that fails here may still be replaced.
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		begin()
+		return got, nil
+	}
+	got.held = func() { u.room.give(size) }
+	began := time.Now()
+	got.body = make([]byte, 0, size)
+	for {
+		n, err := response.Body.Read(got.body[len(got.body):size])
+		got.body = got.body[:len(got.body)+n]
+		switch {
+		case err == io.EOF, err == nil && int64(len(got.body)) == response.ContentLength:
+			return got, nil
+		case err != nil:
+			got.held()
+			return nil, err
+		case response.ContentLength < 0 && (int64(len(got.body)) == size || time.Since(began) >= holdFor):
+			begin()
+			return got, nil
+		}
+	}
+}
+
+var errLarge = fmt.Errorf("the answer's body is over %d bytes", bodyMost)
+
+// head waits for the whole head of the next answer and looks at its bytes, which
+// are left to be read.
+func (c *conn) head() (headScan, error) {
+	var h headScan
+	for h.end == 0 {
+		if _, err := c.reader.Peek(int(h.size) + 1); err != nil {
+			return h, err
+		}
+		all, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return h, err
+		}
+		h.scan(all[h.size:])
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/sidecar/loadreport.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// figureMost bounds a figure in a load report: a larger one is an error.
+const figureMost = 1e6
+
+// loadReport reads name=value pairs into the order of the settings. A figure
+// that is missing, repeated, malformed or beyond all sense is not a number,
+// which the balancer skips: it keeps what it knew.
+func (u *upstream) loadReport(text string) []float32 {
+	if text == "" || len(u.fields) == 0 {
+		return nil
+	}
+	load, seen := make([]float32, len(u.fields)), make([]bool, len(u.fields))
+	for i := range load {
+		load[i] = float32(math.NaN())
+	}
+	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		i := slices.Index(u.fields, name)
+		if i < 0 {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 32)
+		if seen[i] || err != nil || !(v >= 0 && v <= figureMost) {
+			v = math.NaN()
+		}
+		load[i], seen[i] = float32(v), true
+	}
+	return load
+}
--- /dev/null
+++ b/internal/sidecar/pool.go
@@ -0,0 +1,197 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"slices"
+	"time"
+)
+
+// The connections to endpoints: how many there are, and which one a request or a probe takes.
+
+const (
+	answerPause = 20 * time.Millisecond // a connection rests after an answer: a second one comes some milliseconds late
+	probeSpares = 4                     // one in so many connections is left to requests
+)
+
+// upCounts tells of connections to endpoints: those open now and, since the start, those dialled, those that
+// never came up, and the attempts and probes that found no room for one.
+type upCounts struct {
+	open                int
+	dialTime            time.Duration
+	dials, failed, full uint64
+}
+
+func (u *upstream) counts() upCounts {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return upCounts{u.open, u.dialTime, u.dials, u.failed, u.full}
+}
+
+// target is one life of an endpoint at one address. It is closed for good once
+// the endpoint is told draining or gone, or has restarted.
+type target struct {
+	address string
+	born    int64
+	closed  bool // under upstream.mu
+}
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	net.Conn
+	target *target
+	reader *bufio.Reader
+	limit  io.LimitedReader // of an answer
+	ctx    context.Context  // of the attempt
+	stall  time.Duration    // without a byte, until a read is given up; 0: no limit
+	idleAt time.Time
+	used   bool // it has carried a request before
+}
+
+// connect returns the connection to t that was used last, or opens one.
+func (u *upstream) connect(ctx context.Context, t *target, probe bool) (*conn, error) {
+	c, err := u.reserve(t, probe)
+	if c != nil || err != nil {
+		return c, err
+	}
+	start := time.Now()
+	raw, err := u.dialer.DialContext(ctx, "tcp", t.address)
+	u.mu.Lock()
+	u.dialTime += time.Since(start)
+	if err != nil {
+		u.open--
+		u.failed++
+	}
+	u.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	c = &conn{Conn: raw, target: t}
+	c.limit.R = c
+	c.reader = bufio.NewReaderSize(&c.limit, answerMost)
+	return c, nil
+}
+
+// reserve returns an idle connection, or none with the right to open one. Where lists
+// are long, probes alone could hold all that may be open: they leave some to requests.
+func (u *upstream) reserve(t *target, probe bool) (*conn, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t.closed {
+		return nil, errClosed
+	}
+	// What was answered just now may get a second answer, which would be taken for that of the
+	// next request: it rests, and the latest of those that have rested is used.
+	for {
+		list := u.idle[t]
+		i := len(list) - 1
+		for i >= 0 && time.Since(list[i].idleAt) < u.rest {
+			i--
+		}
+		if i < 0 {
+			break
+		}
+		c := list[i]
+		u.setIdle(t, slices.Delete(list, i, i+1))
+		if time.Since(c.idleAt) < u.idleMost && c.alive() {
+			return c, nil
+		}
+		u.drop(c)
+	}
+	most := u.most
+	if probe {
+		most -= most / probeSpares
+	}
+	if u.open >= most {
+		for other := range u.idle {
+			u.dropOldest(other, 1)
+			break
+		}
+	}
+	if u.open >= most {
+		u.full++
+		return nil, errFull
+	}
+	u.open++
+	u.dials++
+	return nil, nil
+}
+
+// limit sets the most connections, and closes idle ones beyond that.
+func (u *upstream) limit(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = most
+	for t, list := range u.idle {
+		u.dropOldest(t, max(0, min(len(list), u.open-most)))
+	}
+}
+
+// drop closes a connection. It holds u.mu.
+func (u *upstream) drop(c *conn) {
+	c.Close()
+	u.open--
+}
+
+// dropOldest closes the connections to t that have been idle for longest, so many of them. It holds u.mu.
+func (u *upstream) dropOldest(t *target, count int) {
+	list := u.idle[t]
+	for _, c := range list[:count] {
+		u.drop(c)
+	}
+	// Not list[count:]: the array would keep the closed connections and their buffers.
+	u.setIdle(t, slices.Delete(list, 0, count))
+}
+
+// setIdle keeps the idle connections to t; none takes no room. It holds u.mu.
+func (u *upstream) setIdle(t *target, list []*conn) {
+	if len(list) == 0 {
+		delete(u.idle, t)
+		return
+	}
+	u.idle[t] = list
+}
+
+// release keeps a connection for the next request, or closes it.
+func (u *upstream) release(c *conn, keep bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !keep || c.target.closed {
+		u.drop(c)
+		return
+	}
+	c.idleAt, c.used = time.Now(), true
+	u.idle[c.target] = append(u.idle[c.target], c)
+}
+
+// retire closes a target for good, and its idle connections. What is out there
+// goes on.
+func (u *upstream) retire(t *target) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	t.closed = true
+	for _, c := range u.idle[t] {
+		u.drop(c)
+	}
+	delete(u.idle, t)
+}
+
+// prune closes connections that have been idle for too long.
+func (u *upstream) prune() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for t, list := range u.idle {
+		old := 0 // the longest idle come first
+		for old < len(list) && time.Since(list[old].idleAt) >= u.idleMost {
+			old++
+		}
+		u.dropOldest(t, old)
+	}
+}
+
+// alive says whether an idle connection is open and silent. An endpoint may
+// close it at any time, and a request written after that is lost as a reset
+// that may have run.
+func (c *conn) alive() bool { return !readable(c.Conn) }
