Compare candidate endpoints in one place

Cause: the test of whether an endpoint may be picked and the search for the least cost stood four and two times in pick.go. The doc of the ledger stood a second time at the end of lifecycle.go, attached to nothing. Change: consider tests and compares a candidate, choice holds the best; the stray comment goes.

--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -61,7 +61,3 @@
 		}
 	}
 }
-
-//
-// Every send, refusal and failure leaves through send, refuse and fail below.
-// They alone keep the rules; no policy can get round them.
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -95,20 +95,15 @@
 	}
 	var first *endpoint
 	for rank := range homesEach {
-		var best *endpoint
-		var least float64
+		var best choice
 		for _, e := range [...]*endpoint{top[rank].e, top[homesEach+rank].e, b.turn} {
-			if e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
-				if c := b.cost(now, r, e); best == nil || c < least {
-					best, least = e, c
-				}
-			}
+			b.consider(now, r, not, e, &best)
 		}
-		if best != nil && (b.crowding(best) <= 1 || b.predict(now, best, r.work) <= b.room(now, r, best)) {
-			return best
+		if e := best.e; e != nil && (b.crowding(e) <= 1 || b.predict(now, e, r.work) <= b.room(now, r, e)) {
+			return e
 		}
 		if first == nil {
-			first = best
+			first = best.e
 		}
 	}
 	if b.thin(now) {
@@ -117,18 +112,27 @@
 	return nil
 }
 
+// choice is the endpoint of the least cost so far.
+type choice struct {
+	e    *endpoint
+	cost float64
+}
+
+// consider makes e the choice for r if it may be sent to, is not left out and costs less.
+func (b *Balancer) consider(now Micros, r *request, not, e *endpoint, best *choice) {
+	if e == nil || e == not || r.tried(e) || !b.maySend(now, r, e) {
+		return
+	}
+	if c := b.cost(now, r, e); best.e == nil || c < best.cost {
+		*best = choice{e, c}
+	}
+}
+
 // pick returns the pooled endpoint of the least cost for r, leaving out those it must not or should not go
 // to; without fresh answers, the better of two random draws.
 func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
 	fresh := b.freshFor(now, b.class(r).Aim)
 	b.earn(now, r.work)
-	var best *endpoint
-	var least float64
-	consider := func(e *endpoint) {
-		if c := b.cost(now, r, e); best == nil || c < least {
-			best, least = e, c
-		}
-	}
 	b.pool = slices.DeleteFunc(b.pool, func(e *endpoint) bool {
 		e.pooled = e.usable() && now-e.answerAt <= fresh
 		return !e.pooled
@@ -139,23 +143,18 @@
 	if e := b.home(now, r, not); e != nil {
 		return e
 	}
+	var best choice
 	// A random start parts equals: all balancers may hold the same list.
 	for i, at := 0, int(b.rng.float()*float64(len(b.pool))); i < len(b.pool); i++ {
-		if e := b.pool[(at+i)%len(b.pool)]; e != not && !r.tried(e) && b.maySend(now, r, e) {
-			consider(e)
-		}
+		b.consider(now, r, not, b.pool[(at+i)%len(b.pool)], &best)
 	}
 	// The cold one whose turn it is competes: seldom drawn, it would stay cold.
-	if e := b.turn; e != nil && e != not && !r.tried(e) && b.maySend(now, r, e) {
-		consider(e)
-	}
+	b.consider(now, r, not, b.turn, &best)
 	// A pool of few would take all: with most endpoints unanswered, the draws compete.
-	if best == nil || !b.sparse && 2*len(b.pool) < len(b.list) {
+	if best.e == nil || !b.sparse && 2*len(b.pool) < len(b.list) {
 		for range 2 {
-			if e := b.draw(now, r, not, float64(r.Deadline)); e != nil {
-				consider(e)
-			}
+			b.consider(now, r, not, b.draw(now, r, not, float64(r.Deadline)), &best)
 		}
 	}
-	return best
+	return best.e
 }
