--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -5,12 +5,12 @@
 // Admission: whether a request is worth an attempt now.
 
 const (
-	passLeast   = 10   // requests that seem too late: one of so many is sent all the same,
-	passMost    = 640  // and one of so many after passes that earned nothing
-	roomMost    = 0.6  // of what the aim leaves may be waited by the class of most value: latencies vary
-	roomLeast   = 0.2  // and by any
-	tenantSlack = 1.25 // refusals below a fifth say nothing of shares
-	windowGain  = 4.0  // worth counts more in the worst windows, and those are when requests are refused
+	minPassInterval = 10   // requests that seem too late: one of so many is sent all the same,
+	maxPassInterval = 640  // and one of so many after passes that earned nothing
+	maxWaitShare    = 0.6  // of what the aim leaves may be waited by the class of most value: latencies vary
+	minWaitShare    = 0.2  // and by any
+	tenantSlack     = 1.25 // refusals below a fifth say nothing of shares
+	windowGain      = 4.0  // worth counts more in the worst windows, and those are when requests are refused
 )
 
 // Request handles a client's request.
@@ -100,7 +100,7 @@
 // a part of what the aim leaves for waiting. Classes of little value for their work give way first.
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
 	alone := b.ways[e.Zone].v + r.work*b.slowdown(now)*e.paceNow(now, b)
-	share := max(roomLeast, roomMost*r.value)
+	share := max(minWaitShare, maxWaitShare*r.value)
 	if n := len(r.attempts); n > 0 && r.attempts[n-1].late {
 		// The request was swallowed: it has waited longer than its class should already.
 		share = 1
--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -6,8 +6,8 @@
 const (
 	window      = 10 * second
 	buckets     = 40
-	kMost       = 1.5
-	kLeast      = 1.1
+	maxK        = 1.5
+	minK        = 1.1
 	protection  = 5
 	forcedPass  = second
 	activation  = 3
@@ -41,7 +41,7 @@
 			failing++
 		}
 	}
-	weight := max(kLeast, kMost-(kMost-kLeast)*float64(failing)/buckets)
+	weight := max(minK, maxK-(maxK-minK)*float64(failing)/buckets)
 	total := float64(k.requests)
 	return max(0, (total-protection-weight*float64(k.accepts))/(total+1))
 }
--- a/balancer/cordon_test.go
+++ b/balancer/cordon_test.go
@@ -104,7 +104,7 @@
 			used++
 		}
 	}
-	if used < 1 || used > 4*owedMost {
-		t.Errorf("%d of 1000 balancers sent to it at once, want about %d", used, owedMost)
+	if used < 1 || used > 4*maxPending {
+		t.Errorf("%d of 1000 balancers sent to it at once, want about %d", used, maxPending)
 	}
 }
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -72,7 +72,7 @@
 	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, cold: cold, expected: b.predict(now, e, r.work),
 		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), crowding: b.crowding(e),
 		out: true, mayRun: true, written: !r.Passing}
-	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
+	a.lateAt = now + Micros(max(lateFactor*a.expected, minLateShare*float64(b.class(r).Aim)))
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if e.sentAt = now; r.Passing {
@@ -86,7 +86,7 @@
 	if len(r.attempts) == 1 {
 		b.out.Timer(max(1, r.Deadline-now), r.token)
 	}
-	if b.lost.v >= lostLeast && a.lateAt+Micros(a.expected) < r.Deadline {
+	if b.lost.v >= minLostShare && a.lateAt+Micros(a.expected) < r.Deadline {
 		b.out.Timer(a.lateAt-now, r.token)
 	}
 	return true
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -40,7 +40,7 @@
 	b.trend, b.trust = 1, 0.5
 	b.chill = ewma{v: chillFirst, seen: true}
 	b.usual = mean{v: usualFirst, n: usualGuess}
-	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
+	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, minPassInterval
 	b.firstAsk(now)
 	b.firstProbe()
 }
--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -93,7 +93,7 @@
 				// Staff wait to see it serve. One request each is soon more than it can bear.
 				c, work := &b.s.Contract, b.classes[0].work.v
 				n := c.FallMultiple * c.ColdFrom * float64(c.OverloadFor) / work
-				if e.owed = b.rng.float()*float64(b.s.Balancers) < min(owedMost, 1+owedShare*n); e.owed {
+				if e.owed = b.rng.float()*float64(b.s.Balancers) < min(maxPending, 1+owedShare*n); e.owed {
 					b.spare = max(b.spare, 2*coldCharge*work) // and its probes
 				}
 			}
@@ -102,7 +102,7 @@
 	}
 }
 
-const askLeast = second / 20 // the shortest pause after a call that failed, about
+const minAskDelay = second / 20 // the shortest pause after a call that failed, about
 
 func (b *Balancer) askIn(now, delay Micros) {
 	b.askAt = now + delay
@@ -131,7 +131,7 @@
 	if b.s.Subscribe {
 		first := b.s.Contract.AskWithin / 20
 		if b.subscribed {
-			first = min(first, max(b.s.Contract.DrainGrace/4, askLeast))
+			first = min(first, max(b.s.Contract.DrainGrace/4, minAskDelay))
 		}
 		if b.askWait = min(2*b.askWait, b.s.Contract.AskWithin/4); b.askWait == 0 {
 			b.askWait = first
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -8,12 +8,12 @@
 // Endpoint selection.
 
 const (
-	drawTries    = 8    // random draws before the list is gone through
-	othersWeight = 0.05 // of the delay that a send is to those already there: among equals less load goes first
-	zoneWeight   = 2.0  // aims of latency that a crossing's price counts as
-	homesEach    = 2    // endpoints at home, and as many elsewhere, that a key names
-	ejectFrom    = 0.4  // share of failures from which an endpoint is ejected,
-	turnsMost    = 0.5  // and share of turned away among them from which it still goes ahead of a late one
+	drawTries        = 8    // random draws before the list is gone through
+	othersWeight     = 0.05 // of the delay that a send is to others there: among equals less load goes first
+	zoneWeight       = 2.0  // aims of latency that a crossing's price counts as
+	homesEach        = 2    // endpoints at home, and as many elsewhere, that a key names
+	ejectFrom        = 0.4  // share of failures from which an endpoint is ejected,
+	maxRejectedShare = 0.5  // and share of turned away among them from which it still goes ahead of a late one
 )
 
 // failing is the recent share of failures at e; it fades, so that e is tried again.
@@ -31,7 +31,7 @@
 	expected := b.predict(now, e, r.work)
 	// One that answers in time goes first, if far or failing. One that only turns some away goes ahead of one
 	// that is too late: nothing of what it turns away has run, and what it takes in is answered.
-	ejected := e.ejected(now) && e.turned.v < turnsMost
+	ejected := e.ejected(now) && e.turned.v < maxRejectedShare
 	c := expected + (e.failing(now)+share(ejected)+share(expected > b.room(now, r, e)))*aim
 	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(e)
 	return c + zoneWeight*b.s.Prices.CrossZone*aim*share(int(e.Zone) != b.s.Zone)
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -584,14 +584,14 @@
 	if passed[0] < 3 || passed[0] > 8 || passed[1] > 2 {
 		t.Errorf("%d of the first 200 passed and %d of the next", passed[0], passed[1])
 	}
-	b.passOf = passMost
+	b.passOf = maxPassInterval
 	r.sends = nil
 	b.classes[0].work.v = 1000
 	b.Request(500*second, request0(1000, 0, 500*second))
 	b.Outcome(501*second, Outcome{ID: 1000, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
 	b.Request(502*second, request0(1001, 0, 502*second))
 	b.Outcome(502*second+1000, Outcome{ID: 1001, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
-	if b.passOf != passLeast {
+	if b.passOf != minPassInterval {
 		t.Errorf("one of %d passes after an answer in time", b.passOf)
 	}
 }
--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -5,32 +5,32 @@
 // Probing: when endpoints are asked for their load, and what the answers tell.
 
 const (
-	probeGap    = second / 10 // longest pause between probe rounds
-	probeSpend  = 0.005       // of the result, at most, goes to probes
-	firstTries  = 0.3         // at least, of what is asked
-	probeMost   = 4.0         // probes a request, at most
-	askSpend    = 0.02        // of the result, at most, goes to probes asked for single requests
-	holdPart    = 0.1         // of its aim, at most, a request waits for the probes asked for it
-	askedAge    = 0.25        // of its aim, at most, may a figure be old where probes go with requests
-	probeBatch  = 3           // endpoints a round
-	waitsTell   = 0.05        // share of probes that waited from which all are taken to stand in line
-	usualWeight = 0.1         // of the latest answer in the usual load
-	usualFirst  = 0.5         // the usual load, until answers tell,
-	usualGuess  = 10          // as sure as so many of them
-	usualThin   = 0.03        // the same where answers are few
-	meanWeight  = 0.1         // the same in the mean load at one endpoint
-	lineLeast   = 0.5         // requests a probe must have waited for to count
-	ownTells    = 0.1         // own requests held at an endpoint from which own counts tell its load
-	poolAge     = second      // an answer is fresh for this long,
-	poolRounds  = 3           // or for so many turns of the whole fleet
-	lagMost     = 0.1         // share of late reports above which their averages serve
-	shareWeight = 0.02        // of the latest sample in a share of all
-	settleTrips = 5.0         // round trips after which a send has surely arrived
+	probeGap            = second / 10 // longest pause between probe rounds
+	probeSpend          = 0.005       // of the result, at most, goes to probes
+	firstTries          = 0.3         // at least, of what is asked
+	maxProbesPerRequest = 4.0         // probes a request, at most
+	askSpend            = 0.02        // of the result, at most, goes to probes asked for single requests
+	holdPart            = 0.1         // of its aim, at most, a request waits for the probes asked for it
+	askedAge            = 0.25        // of its aim, at most, may a figure be old where probes go with requests
+	probeBatch          = 3           // endpoints a round
+	waitsTell           = 0.05        // share of probes that waited from which all are taken to stand in line
+	usualWeight         = 0.1         // of the latest answer in the usual load
+	usualFirst          = 0.5         // the usual load, until answers tell,
+	usualGuess          = 10          // as sure as so many of them
+	usualThin           = 0.03        // the same where answers are few
+	meanWeight          = 0.1         // the same in the mean load at one endpoint
+	minQueued           = 0.5         // requests a probe must have waited for to count
+	ownTells            = 0.1         // own requests held at an endpoint from which own counts tell its load
+	poolAge             = second      // an answer is fresh for this long,
+	poolRounds          = 3           // or for so many turns of the whole fleet
+	maxLateShare        = 0.1         // share of late reports above which their averages serve
+	shareWeight         = 0.02        // of the latest sample in a share of all
+	settleTrips         = 5.0         // round trips after which a send has surely arrived
 )
 
 // firstProbe begins the probe rounds.
 func (b *Balancer) firstProbe() {
-	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
+	b.asks = min(maxProbesPerRequest, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
 	if b.s.Limits.Probes {
 		b.out.Timer(1+b.rng.below(probeGap), tokenProbe)
 	}
@@ -38,7 +38,7 @@
 
 // probeRate is the pace of probes a second that the settings' price allows.
 func (b *Balancer) probeRate(now Micros) float64 {
-	per := min(probeMost, probeSpend/b.s.Prices.Probe)
+	per := min(maxProbesPerRequest, probeSpend/b.s.Prices.Probe)
 	// The price counts first tries. While all is refused, answers must still show when that may end.
 	return max(1, per*b.demand.rate(now)*max(firstTries, 1-b.refused.v))
 }
@@ -163,9 +163,9 @@
 		way.add(float64(latency))
 	}
 	line := b.line(way.beyond(float64(latency)))
-	b.waits.add(share(line >= lineLeast), shareWeight)
+	b.waits.add(share(line >= minQueued), shareWeight)
 	b.stats.Held += max(0, held)
-	if held >= 0 && line >= lineLeast {
+	if held >= 0 && line >= minQueued {
 		b.stats.Lined++
 		held = max(held, cores+line)
 	}
@@ -186,7 +186,7 @@
 			b.usual.add(e.others, weight)
 		}
 		e.mean.add(e.others, meanWeight)
-		if b.waits.v > waitsTell && line < lineLeast && b.usual.v < cores {
+		if b.waits.v > waitsTell && line < minQueued && b.usual.v < cores {
 			// Probes wait in line here, and this one found none, whatever an old report says. In a fleet that
 			// is busy all over it is chance: the report tells more.
 			e.others = min(e.others, cores-1)
@@ -197,7 +197,7 @@
 	// still on their way. If that happens often, the pool misleads: averages serve then.
 	if own := e.inflight; hasHeld && own > 0 && float64(now-e.sentAt) > settleTrips*b.ways[e.Zone].v {
 		b.lag.add(share(held+0.5 < float64(own)), shareWeight)
-		if b.lag.v > lagMost && !b.reportsLate || b.lag.v < lagMost/3 && b.reportsLate {
+		if b.lag.v > maxLateShare && !b.reportsLate || b.lag.v < maxLateShare/3 && b.reportsLate {
 			b.reportsLate = !b.reportsLate
 			b.log(now, "lag", "load reports late: %v, %.0f%% count fewer than ours there", b.reportsLate, 100*b.lag.v)
 		}
--- a/balancer/retries.go
+++ b/balancer/retries.go
@@ -5,16 +5,16 @@
 // Outcomes, retries and second copies of a request.
 
 const (
-	budgetBurst = 10.0
-	retryShare  = 0.2  // retries earned by each request
-	lostWeight  = 0.02 // of the latest outcome in the share of attempts that are lost
-	lostLeast   = 0.01 // share from which late attempts get a second copy
-	copyShare   = 0.2  // second copies earned by each request
-	failWeight  = 0.5  // of the latest outcome in an endpoint's share of failures: healthy ones hardly ever fail
-	wayWeight   = 0.25 // the same for a failure of the way there: connections break at healthy endpoints, too
-	lateFactor  = 2.5  // times the latency expected, and
-	lateLeast   = 0.25 // of the aim at least, after which an answer is late
-	turnWeight  = 0.25 // of the latest failure in that share
+	budgetBurst  = 10.0
+	retryShare   = 0.2  // retries earned by each request
+	lostWeight   = 0.02 // of the latest outcome in the share of attempts that are lost
+	minLostShare = 0.01 // share from which late attempts get a second copy
+	copyShare    = 0.2  // second copies earned by each request
+	failWeight   = 0.5  // of the latest outcome in an endpoint's share of failures: healthy ones hardly fail
+	wayWeight    = 0.25 // the same for a failure of the way there: connections break at healthy endpoints, too
+	lateFactor   = 2.5  // times the latency expected, and
+	minLateShare = 0.25 // of the aim at least, after which an answer is late
+	turnWeight   = 0.25 // of the latest failure in that share
 )
 
 // wake looks at a request whose probes are slow, or whose time is up.
@@ -46,7 +46,7 @@
 // That is done only while such losses are proven to happen: most late answers are slow, and come.
 func (b *Balancer) late(now Micros, r *request, a *attempt) {
 	e := a.ep
-	if b.lost.v < lostLeast {
+	if b.lost.v < minLostShare {
 		return
 	}
 	overtaken, silent := e.answered > a.at, a.doubted && e.heardAt < a.at
@@ -95,9 +95,9 @@
 	b.record(now, r, a, o.Status, o.Latency)
 	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim {
 		r.good = 1
-		b.passOf = passLeast
+		b.passOf = minPassInterval
 	} else if r.pass {
-		b.passOf = min(2*b.passOf, passMost) // a jam needs rest: what is passed into it only keeps it
+		b.passOf = min(2*b.passOf, maxPassInterval) // a jam needs rest: what is passed into it only keeps it
 	}
 	if o.Settled || o.Status == OK || r.ended {
 		b.end(r)
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -498,10 +498,10 @@
 			b.Members(0, ListDelta, nil)
 			for n := range 8 {
 				delay := fails()
-				if most := max(grace/2, askLeast*3/2+1); n == 0 && delay > most {
+				if most := max(grace/2, minAskDelay*3/2+1); n == 0 && delay > most {
 					t.Errorf("grace %d: asked again after %d, want %d at most", grace, delay, most)
 				}
-				if least := min(s.Contract.AskWithin/8, askLeast/2<<n); delay < least {
+				if least := min(s.Contract.AskWithin/8, minAskDelay/2<<n); delay < least {
 					t.Errorf("grace %d: try %d after %d, want %d at least", grace, n, delay, least)
 				}
 			}
@@ -620,7 +620,7 @@
 func TestLostAttemptsGetACopyElsewhere(t *testing.T) {
 	for class, copies := range []int{1, 1, 1, 1, 0} {
 		b, r := start(t, testSettings(), ready(4))
-		b.lost.v = lostLeast
+		b.lost.v = minLostShare
 		b.Request(1000, request0(1, uint8(class), 1000))
 		first := r.sends[0]
 		b.byID[first.endpoint].answered = 2000
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -16,7 +16,7 @@
 	chillFirst  = 0.2 // of the slowness that the least warmth makes, until more is known
 	chillWeight = 0.05
 	probeShare  = 0.01 // of a request's work, taken from the cold endpoints' room by a probe
-	owedMost    = 10   // balancers that send one at once to an endpoint put back by hand,
+	maxPending  = 10   // balancers that send one at once to an endpoint put back by hand,
 	owedShare   = 0.4  // and more than one by this share of the requests that it may get at first
 )
 
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -199,7 +199,7 @@
 const (
 	swayFirst  = 0.3 // of the way, until more is known
 	swayWeight = 0.1
-	swayMost   = 4.0 // times the usual sway
+	maxSway    = 4.0 // times the usual sway
 )
 
 func (w *way) add(x float64) {
@@ -217,7 +217,7 @@
 
 // beyond is what a probe took that the way does not explain; nothing until enough is known of that.
 func (w *way) beyond(latency float64) float64 {
-	if waited := latency - w.v; w.n >= len(w.last) && waited > swayMost*w.sway.v {
+	if waited := latency - w.v; w.n >= len(w.last) && waited > maxSway*w.sway.v {
 		return waited
 	}
 	return 0
--- a/cmd/pinedale/size_test.go
+++ b/cmd/pinedale/size_test.go
@@ -24,8 +24,8 @@
 	sizeTenants   = 1024
 	sizePeers     = 1024
 	sizeSidecars  = 350
-	leastMemoryMB = 32 // the smallest limits that the platform documents
-	leastSockets  = 256
+	minMemoryMB   = 32 // the smallest limits that the platform documents
+	minSockets    = 256
 )
 
 // sizeList lists the endpoints, the second half of them in the given state.
@@ -100,7 +100,7 @@
 	}
 	listen := freeAddress(t)
 	text, err := json.Marshal(map[string]any{"name": "n349", "listen": listen, "discovery": discovery.Listener.Addr().String(),
-		"seed": "1f", "limits": map[string]any{"cores": 1, "memory_mb": leastMemoryMB, "sockets": leastSockets},
+		"seed": "1f", "limits": map[string]any{"cores": 1, "memory_mb": minMemoryMB, "sockets": minSockets},
 		"peer_listen": peers[sizeSidecars-1], "peers": peers, "known": json.RawMessage(sizeList(41, true, "Ready", first, second)),
 		"settings": map[string]any{"areas": []string{"a"}, "skus": []string{"m"}, "discovery": "subscribe",
 			"peers-total": sizeSidecars, "position": sizeSidecars - 1, "tenants": tenants,
@@ -186,8 +186,8 @@
 	if late := drains.served.Load() - before; late > 0 {
 		t.Errorf("%d requests went to endpoints that drain", late)
 	}
-	if descriptors > leastSockets {
-		t.Errorf("%d descriptors open, granted are %d", descriptors, leastSockets)
+	if descriptors > minSockets {
+		t.Errorf("%d descriptors open, granted are %d", descriptors, minSockets)
 	}
 	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(cmd.Process.Pid), "status"))
 	if err != nil {
@@ -195,8 +195,8 @@
 	}
 	_, peak, _ := bytes.Cut(status, []byte("VmHWM:"))
 	kb, err := strconv.Atoi(string(bytes.Fields(peak)[0]))
-	if err != nil || kb > leastMemoryMB<<10 && !raced() {
-		t.Errorf("%d kB of memory at the most (%v), granted are %d MB", kb, err, leastMemoryMB)
+	if err != nil || kb > minMemoryMB<<10 && !raced() {
+		t.Errorf("%d kB of memory at the most (%v), granted are %d MB", kb, err, minMemoryMB)
 	}
 	t.Logf("%d descriptors, %d kB of memory at the most", descriptors, kb)
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	adminMost    = 12              // callers at once: their descriptors are part of socketSpare
-	adminTimeout = 2 * time.Second // for a call to come whole, and for its answer to leave
-	adminHead    = 4 << 10         // bytes of a call's head
-	adminBody    = 4 << 10         // bytes of a call's body, of which nothing is used
+	maxAdminCalls = 12              // callers at once: their descriptors are part of socketSpare
+	adminTimeout  = 2 * time.Second // for a call to come whole, and for its answer to leave
+	adminHead     = 4 << 10         // bytes of a call's head
+	adminBody     = 4 << 10         // bytes of a call's body, of which nothing is used
 )
 
 // admin answers the operators' calls at the second address. It shares nothing
@@ -92,7 +92,7 @@
 			}
 		}
 	}()
-	a.http.Serve(&clients{Listener: listener, most: adminMost, mostAsked: adminMost})
+	a.http.Serve(&clients{Listener: listener, most: maxAdminCalls, maxAsked: maxAdminCalls})
 }
 
 func (a *admin) handle(w http.ResponseWriter, in *http.Request) {
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -98,7 +98,7 @@
 	e := newEndpoint(t, always(served))
 	w := start(t, nil, ready("s-1", e.address))
 	address := w.second(t.TempDir())
-	for range 3 * adminMost {
+	for range 3 * maxAdminCalls {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -16,8 +16,8 @@
 // connections use up the descriptors that attempts and discovery need.
 type clients struct {
 	net.Listener
-	most      int
-	mostAsked int
+	most     int
+	maxAsked int
 
 	mu      sync.Mutex
 	open    int
@@ -27,10 +27,10 @@
 }
 
 const (
-	closeDrain   = 500 * time.Millisecond // for a client to end its side after the sidecar has
-	drainMost    = 1 << 20                // bytes read of it meanwhile
-	atDoorMost   = 4                      // connections beyond the limit that are told so; out of socketSpare
-	atDoorAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+	closeDrain    = 500 * time.Millisecond // for a client to end its side after the sidecar has
+	maxDrainBytes = 1 << 20                // bytes read of it meanwhile
+	maxRejected   = 4                      // connections beyond the limit that are told so; out of socketSpare
+	atDoorAnswer  = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Accept returns the next connection. Beyond the limit one that carries nothing makes
@@ -71,7 +71,7 @@
 	defer l.mu.Unlock()
 	for l.open >= l.most && l.evict() {
 	}
-	if l.open >= l.most+atDoorMost {
+	if l.open >= l.most+maxRejected {
 		return turnedAway
 	}
 	room := l.open < l.most
@@ -103,10 +103,10 @@
 }
 
 // limit sets the most connections, and has silent ones beyond that end.
-func (l *clients) limit(most, mostAsked int) {
+func (l *clients) limit(most, maxAsked int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.most, l.mostAsked = most, mostAsked
+	l.most, l.maxAsked = most, maxAsked
 	over := l.open - most
 	for e := l.waiting.Front(); e != nil && over > 0; e = e.Next() {
 		e.Value.(*clientConn).expire()
@@ -120,7 +120,7 @@
 func (l *clients) crowded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.asked > l.mostAsked
+	return l.asked > l.maxAsked
 }
 
 // count returns the number of open connections.
@@ -257,7 +257,7 @@
 	}
 	c.behind = true
 	go func() {
-		err := c.drain(drainMost)
+		err := c.drain(maxDrainBytes)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -346,7 +346,7 @@
 	}
 	go func() {
 		c.Conn.SetReadDeadline(time.Now().Add(closeDrain))
-		c.drain(drainMost)
+		c.drain(maxDrainBytes)
 		c.finish()
 	}()
 	return nil
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -140,9 +140,9 @@
 		size, code int
 		full       bool
 	}{
-		{"too large", payHead + "X-Correlation-Id: 1\r\n", bodyMost + 1, http.StatusRequestEntityTooLarge, false},
-		{"bad hint", payHead + "X-Correlation-Id: 2\r\nX-Weight-Hint: -1\r\n", holdMost, http.StatusBadRequest, false},
-		{"no room", payHead + "X-Correlation-Id: 3\r\n", holdMost, http.StatusServiceUnavailable, true},
+		{"too large", payHead + "X-Correlation-Id: 1\r\n", maxBodyBytes + 1, http.StatusRequestEntityTooLarge, false},
+		{"bad hint", payHead + "X-Correlation-Id: 2\r\nX-Weight-Hint: -1\r\n", maxBufferedBytes, http.StatusBadRequest, false},
+		{"no room", payHead + "X-Correlation-Id: 3\r\n", maxBufferedBytes, http.StatusServiceUnavailable, true},
 	} {
 		taken := w.loop.up.room.used.Load()
 		if c.full {
@@ -293,20 +293,20 @@
 	w := start(t, nil, ready("s-1", e.address))
 	w.until("other connections to end", func() bool { return w.server.clients.count() == 0 })
 	w.server.clients.mu.Lock()
-	w.server.clients.mostAsked = 3 // few enough for all requests to come before a connection has been idle for long
+	w.server.clients.maxAsked = 3 // few enough for all requests to come before a connection has been idle for long
 	w.server.clients.mu.Unlock()
-	for i := range w.server.clients.mostAsked + 3 {
+	for i := range w.server.clients.maxAsked + 3 {
 		conn := w.dial()
 		w.request("read", "", time.Minute).Write(conn)
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil || response.StatusCode != http.StatusOK {
 			t.Fatalf("request %d: %v, %v", i, response, err)
 		}
-		if want := i >= w.server.clients.mostAsked; response.Close != want {
+		if want := i >= w.server.clients.maxAsked; response.Close != want {
 			t.Fatalf("request %d: Connection: close %v, want %v", i, response.Close, want)
 		}
 		if response.Close {
-			w.until("the end of the connection", func() bool { return w.server.clients.count() == w.server.clients.mostAsked })
+			w.until("the end of the connection", func() bool { return w.server.clients.count() == w.server.clients.maxAsked })
 		}
 	}
 }
--- a/internal/sidecar/close_test.go
+++ b/internal/sidecar/close_test.go
@@ -127,7 +127,7 @@
 	if got := <-ended; got != atDoorAnswer {
 		t.Errorf("one more read %q", got)
 	}
-	if n := d.count(); n > d.most+atDoorMost {
+	if n := d.count(); n > d.most+maxRejected {
 		t.Errorf("%d connections, limit %d", n, d.most)
 	}
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -46,8 +46,8 @@
 	Sockets  int `json:"sockets"`
 }
 
-// leastSockets is what a sidecar needs to serve anything at all.
-const leastSockets = 64
+// minSockets is what a sidecar needs to serve anything at all.
+const minSockets = 64
 
 // adminVar names the second address, which differs between the processes of one
 // sidecar while all else is the same.
@@ -108,8 +108,8 @@
 	if file.Limits.MemoryMB <= 0 {
 		return nil, fmt.Errorf("limits.memory_mb: %d is not positive", file.Limits.MemoryMB)
 	}
-	if file.Limits.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits.sockets: %d is under %d", file.Limits.Sockets, leastSockets)
+	if file.Limits.Sockets < minSockets {
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", file.Limits.Sockets, minSockets)
 	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin,
 		Seed: seed, Limits: file.Limits}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -16,17 +16,17 @@
 )
 
 const (
-	listMost = 8 << 20 // bytes of a list
+	maxListBytes = 8 << 20 // bytes of a list
 
 	// A call is held for news so long that, should it fall silent, its change is heard of in time
 	// all the same, and never for so long that a list is older than the settings allow one without
 	// a watch; less of it now and then, so that sidecars that began together do not go on in step.
-	waitLeast     = time.Second
+	minWait       = time.Second
 	waitSpread    = 4 // a part of the wait
 	toldAfterWait = 2 * time.Second
 
 	// The balancer's parts of the time for hearing of a change.
-	waitMost      = time.Duration(balancer.WatchWait) * time.Microsecond
+	maxWait       = time.Duration(balancer.WatchWait) * time.Microsecond
 	watchPatience = time.Duration(balancer.WatchSlack) * time.Microsecond
 	listPatience  = time.Duration(balancer.CallPatience) * time.Microsecond
 
@@ -164,7 +164,7 @@
 	d := &discovery{url: "http://" + cfg.Discovery + "/registry/instances", patience: listPatience,
 		older:  olderPeriods * time.Duration(cfg.Settings.Contract.AskWithin) * time.Microsecond,
 		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DialContext: cfg.dial}}}
-	d.wait = max(waitLeast, min(waitMost, time.Duration(cfg.Settings.Contract.AskWithin)*time.Microsecond-toldAfterWait))
+	d.wait = max(minWait, min(maxWait, time.Duration(cfg.Settings.Contract.AskWithin)*time.Microsecond-toldAfterWait))
 	if cfg.wait > 0 {
 		d.wait = cfg.wait
 	}
@@ -197,15 +197,15 @@
 		return list, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, listMost+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
 	if err != nil {
 		return list, err
 	}
 	if response.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("discovery answered %s", response.Status)
 	}
-	if len(body) > listMost {
-		return list, &spoiltError{fmt.Errorf("discovery's answer is over %d bytes", listMost)}
+	if len(body) > maxListBytes {
+		return list, &spoiltError{fmt.Errorf("discovery's answer is over %d bytes", maxListBytes)}
 	}
 	if err := json.Unmarshal(body, &list); err != nil {
 		return list, &spoiltError{fmt.Errorf("discovery's answer: %w", err)}
--- a/internal/sidecar/ending_test.go
+++ b/internal/sidecar/ending_test.go
@@ -82,7 +82,7 @@
 	w.dir.change(func() { w.dir.down = true })
 	// Clients that come again at once when they are closed.
 	end, ended := make(chan struct{}), make(chan struct{})
-	n := w.server.clients.most + 2*atDoorMost
+	n := w.server.clients.most + 2*maxRejected
 	for range n {
 		go func() {
 			defer func() { ended <- struct{}{} }()
@@ -121,10 +121,10 @@
 		return requests > 0
 	})
 	limit := w.loop.cfg.Limits.Sockets
-	if own := 2*w.server.clients.most + atDoorMost + adminMost + 4; own > limit {
+	if own := 2*w.server.clients.most + maxRejected + maxAdminCalls + 4; own > limit {
 		t.Errorf("clients, endpoints and operators may take %d descriptors of %d", own, limit)
 	}
-	if open := w.server.clients.count(); open > w.server.clients.most+atDoorMost {
+	if open := w.server.clients.count(); open > w.server.clients.most+maxRejected {
 		t.Errorf("%d connections of clients, limit %d", open, w.server.clients.most)
 	}
 	close(end)
@@ -143,7 +143,7 @@
 		"a head alone":         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
 		"a body cut short":     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
 		"chunks, no last one":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
-		"a large one, no size": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("x", holdMost+100),
+		"a large one, no size": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("x", maxBufferedBytes+100),
 	} {
 		t.Run(what, func(t *testing.T) {
 			t.Parallel()
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -13,10 +13,10 @@
 // One exchange on a connection: the request written, the answer read and found whole.
 
 const (
-	bodyMost    = 64 << 20               // bytes of a request's or an answer's body
-	answerMost  = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
-	answerRest  = 100 * time.Millisecond // without a byte of an answer that has begun: four round trips between sites
-	interimMost = 10                     // interim answers ahead of one that counts
+	maxBodyBytes       = 64 << 20               // bytes of a request's or an answer's body
+	maxAnswerHeadBytes = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
+	answerRest         = 100 * time.Millisecond // without a byte of an answer that has begun: four round trips between sites
+	maxInterimAnswers  = 10                     // interim answers ahead of one that counts
 )
 
 // Read reads with a limit on the time without a byte, where there is one.
@@ -42,7 +42,7 @@
 // beginning. It gives the connection back unless there is a rest.
 func (u *upstream) exchange(ctx context.Context, c *conn, m *message, g *gate) (got *received, err error) {
 	keep := false
-	c.ctx, c.limit.N = ctx, answerMost+holdMost
+	c.ctx, c.limit.N = ctx, maxAnswerHeadBytes+maxBufferedBytes
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes a read or write
 	defer func() {
 		c.stall = 0
@@ -141,7 +141,7 @@
 // two of them, of which http.ReadResponse hides one. Of a large one, or one that
 // there is no room for, the rest is left to be read.
 func (u *upstream) receive(c *conn, method string) (*received, error) {
-	for range interimMost {
+	for range maxInterimAnswers {
 		c.stall = 0
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
@@ -161,12 +161,12 @@
 			c.SetReadDeadline(time.Time{})
 			continue
 		}
-		if response.ContentLength > bodyMost {
+		if response.ContentLength > maxBodyBytes {
 			return nil, errLarge
 		}
 		if response.StatusCode != http.StatusOK {
-			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, holdMost+1))
-			if err == nil && n > holdMost {
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes+1))
+			if err == nil && n > maxBufferedBytes {
 				err = errLarge
 			}
 			return &received{response: response}, err
@@ -184,12 +184,14 @@
 // hold reads an answer's body whole where that is small, and else its beginning.
 func (u *upstream) hold(c *conn, response *http.Response) (*received, error) {
 	got := &received{response: response}
-	begin := func() { got.rest = &rest{up: u, conn: c, body: response.Body, left: bodyMost - int64(len(got.body))} }
+	begin := func() {
+		got.rest = &rest{up: u, conn: c, body: response.Body, left: maxBodyBytes - int64(len(got.body))}
+	}
 	size := response.ContentLength
 	if size < 0 {
-		size = holdMost
+		size = maxBufferedBytes
 	}
-	if size > holdMost || !u.room.take(size) {
+	if size > maxBufferedBytes || !u.room.take(size) {
 		// Its first byte is worth waiting for: an endpoint that fails here may still be replaced.
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
@@ -216,7 +218,7 @@
 	}
 }
 
-var errLarge = fmt.Errorf("the answer's body is over %d bytes", bodyMost)
+var errLarge = fmt.Errorf("the answer's body is over %d bytes", maxBodyBytes)
 
 // head waits for the whole head of the next answer and looks at its bytes, which
 // are left to be read.
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	seatMost  = 4 // processes of one sidecar that are told apart
-	seatPoll  = 100 * time.Millisecond
-	seatReady = "ready"
-	heapPart  = 8 // tenths of the memory limit: the runtime does not count all
+	maxProcesses = 4 // processes of one sidecar that are told apart
+	seatPoll     = 100 * time.Millisecond
+	seatReady    = "ready"
+	heapPart     = 8 // tenths of the memory limit: the runtime does not count all
 )
 
 // seat is a process's place among those of one sidecar: a locked file in the folder
@@ -32,7 +32,7 @@
 
 // takeSeat takes the first place that is free.
 func takeSeat(dir string) (*seat, error) {
-	for i := range seatMost {
+	for i := range maxProcesses {
 		file, err := os.OpenFile(seatPath(dir, i), os.O_CREATE|os.O_RDWR, 0o600)
 		if err != nil {
 			return nil, err
@@ -42,7 +42,7 @@
 		}
 		file.Close()
 	}
-	return nil, fmt.Errorf("%d processes share %s already", seatMost, dir)
+	return nil, fmt.Errorf("%d processes share %s already", maxProcesses, dir)
 }
 
 // ready tells the others that this process serves.
@@ -53,7 +53,7 @@
 
 // others counts the other processes, and those of them that serve.
 func (s *seat) others() (alive, ready int) {
-	for i := range seatMost {
+	for i := range maxProcesses {
 		if i == s.own {
 			continue
 		}
@@ -102,7 +102,7 @@
 // share limits this process to one of n equal parts of the sidecar's limits.
 func (s *server) share(n int) {
 	cfg := s.loop.cfg
-	most := max(leastConnections, (cfg.Limits.Sockets/n-socketSpare)/2)
+	most := max(minConnections, (cfg.Limits.Sockets/n-socketSpare)/2)
 	s.clients.limit(most, cfg.Limits.Sockets/crowdPart/n)
 	s.loop.up.limit(most)
 	s.loop.up.room.most.Store(int64(cfg.Limits.MemoryMB) << 20 / bodiesPart / int64(n))
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -35,7 +35,7 @@
 	check(second, 0, 0)
 	third := take() // sits where the first did, and is not ready for that
 	check(second, 1, 0)
-	for range seatMost - 2 {
+	for range maxProcesses - 2 {
 		take()
 	}
 	if _, err := takeSeat(dir); err == nil || !strings.Contains(err.Error(), dir) {
--- a/internal/sidecar/loadreport.go
+++ b/internal/sidecar/loadreport.go
@@ -7,8 +7,8 @@
 	"strings"
 )
 
-// figureMost bounds a figure in a load report: a larger one is an error.
-const figureMost = 1e6
+// maxReportFigure bounds a figure in a load report: a larger one is an error.
+const maxReportFigure = 1e6
 
 // loadReport reads name=value pairs into the order of the settings. A figure
 // that is missing, repeated, malformed or beyond all sense is not a number,
@@ -28,7 +28,7 @@
 			continue
 		}
 		v, err := strconv.ParseFloat(value, 32)
-		if seen[i] || err != nil || !(v >= 0 && v <= figureMost) {
+		if seen[i] || err != nil || !(v >= 0 && v <= maxReportFigure) {
 			v = math.NaN()
 		}
 		load[i], seen[i] = float32(v), true
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	eventsMost = 1024 // waiting for the loop
-	urgentMost = 16   // the same of those that go first
-	pruneEvery = time.Second
-	statsEvery = 2 * time.Second
-	missEvery  = time.Second // lines on failures of discovery, where one follows the other
+	maxEvents         = 1024 // waiting for the loop
+	maxPriorityEvents = 16   // the same of those that go first
+	pruneEvery        = time.Second
+	statsEvery        = 2 * time.Second
+	missEvery         = time.Second // lines on failures of discovery, where one follows the other
 )
 
 // clock gives the balancer's time: microseconds that never run backwards, from
@@ -140,8 +140,8 @@
 	l := &loop{
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg), newBudget(cfg)), disc: newDiscovery(cfg),
-		events:   make(chan func(balancer.Micros), eventsMost),
-		urgent:   make(chan func(balancer.Micros), urgentMost),
+		events:   make(chan func(balancer.Micros), maxEvents),
+		urgent:   make(chan func(balancer.Micros), maxPriorityEvents),
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{}, marks: map[string]mark{},
 		stopWatch: func() {},
 	}
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	memoryFile = "oakproxy-learned.json"
-	memoryMost = 30 * time.Second // an older one tells nothing of the fleet as it is
+	memoryFile    = "oakproxy-learned.json"
+	maxLearnedAge = 30 * time.Second // an older one tells nothing of the fleet as it is
 )
 
 // memory keeps what the balancer has learned in a file, for the process that
@@ -75,7 +75,7 @@
 	var l learned
 	err = json.Unmarshal(text, &l)
 	age := time.Since(time.UnixMilli(l.AtMS))
-	if err == nil && (l.Version != stateVersion || l.Sidecar != m.sidecar || age < 0 || age > memoryMost) {
+	if err == nil && (l.Version != stateVersion || l.Sidecar != m.sidecar || age < 0 || age > maxLearnedAge) {
 		err = fmt.Errorf("version %d of sidecar %q, %v old", l.Version, l.Sidecar, age)
 	}
 	if err != nil {
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -70,7 +70,7 @@
 	}
 	c = &conn{Conn: raw, target: t}
 	c.limit.R = c
-	c.reader = bufio.NewReaderSize(&c.limit, answerMost)
+	c.reader = bufio.NewReaderSize(&c.limit, maxAnswerHeadBytes)
 	return c, nil
 }
 
@@ -95,7 +95,7 @@
 		}
 		c := list[i]
 		u.setIdle(t, slices.Delete(list, i, i+1))
-		if time.Since(c.idleAt) < u.idleMost && c.alive() {
+		if time.Since(c.idleAt) < u.maxIdle && c.alive() {
 			return c, nil
 		}
 		u.drop(c)
@@ -184,7 +184,7 @@
 	defer u.mu.Unlock()
 	for t, list := range u.idle {
 		old := 0 // the longest idle come first
-		for old < len(list) && time.Since(list[old].idleAt) >= u.idleMost {
+		for old < len(list) && time.Since(list[old].idleAt) >= u.maxIdle {
 			old++
 		}
 		u.dropOldest(t, old)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -23,12 +23,12 @@
 	answerMargin = 2 * time.Millisecond   // of a client's time, kept for writing the final answer: some have 40 ms in all
 	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
 	sweepEvery   = 20 * time.Millisecond  // while clients are to leave
-	quietLeast   = 200 * time.Millisecond // without a request, after which a client that is to leave is made to:
-	silentLeast  = time.Second            // the application's clients use most connections sooner, new ones at once
+	minQuiet     = 200 * time.Millisecond // without a request, after which a client that is to leave is made to:
+	minSilent    = time.Second            // the application's clients use most connections sooner, new ones at once
 	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
 	busyRetry    = time.Second            // wait told to clients that find all room for bodies in use
-	timeLeftMost = time.Minute            // that a request gets
-	idMost       = 256                    // characters of an id: an id of the protocol has 16
+	maxTimeLeft  = time.Minute            // that a request gets
+	maxIDLength  = 256                    // characters of an id: an id of the protocol has 16
 	crowdPart    = 6                      // of the descriptors: clients hold twice as many for requests at most
 	bodiesPart   = 8                      // of the memory, this part may hold bodies of requests
 
@@ -109,8 +109,8 @@
 // every client's request has one attempt at a time.
 func connections(cfg *Config) int { return (cfg.Limits.Sockets - socketSpare) / 2 }
 
-// leastConnections are left to each of two processes, however few descriptors there are.
-const leastConnections = 12
+// minConnections are left to each of two processes, however few descriptors there are.
+const minConnections = 12
 
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	s.clients.Listener = listener
@@ -139,7 +139,7 @@
 
 func newServer(l *loop) *server {
 	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, ids: map[string]bool{},
-		clients: &clients{most: connections(l.cfg), mostAsked: l.cfg.Limits.Sockets / crowdPart}, acceptFor: acceptAfter}
+		clients: &clients{most: connections(l.cfg), maxAsked: l.cfg.Limits.Sockets / crowdPart}, acceptFor: acceptAfter}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
@@ -148,8 +148,8 @@
 	}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
-		ReadHeaderTimeout: readTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: headMost, ConnState: func(c net.Conn, state http.ConnState) {
+		ReadHeaderTimeout: readTimeout, WriteTimeout: maxTimeLeft + writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeadBytes, ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateIdle {
 				c.(*clientConn).done()
 			}
@@ -189,7 +189,7 @@
 		select {
 		case <-tick.C:
 			if s.leaving() {
-				s.clients.sweep(quietLeast, silentLeast)
+				s.clients.sweep(minQuiet, minSilent)
 			}
 		case <-s.loop.ctx.Done():
 			return
@@ -274,7 +274,7 @@
 	if http.NewResponseController(w).Flush() != nil {
 		return // the client is gone
 	}
-	linger(newPaced(in.Context().Value(connKey{}).(*clientConn), in.Body), lingerMost)
+	linger(newPaced(in.Context().Value(connKey{}).(*clientConn), in.Body), maxLinger)
 }
 
 // handle reads a request, whole or as much as is held, and answers it.
@@ -295,11 +295,11 @@
 			return
 		}
 	}
-	if in.ContentLength > bodyMost {
+	if in.ContentLength > maxBodyBytes {
 		reject(w, in, &badRequest{http.StatusRequestEntityTooLarge, tooLarge})
 		return
 	}
-	held := int64(holdMost)
+	held := int64(maxBufferedBytes)
 	if in.ContentLength >= 0 {
 		held = min(held, in.ContentLength)
 	}
@@ -321,7 +321,7 @@
 	if !whole {
 		left := time.Duration(req.Deadline-arrived) * time.Microsecond
 		m.upload = &upload{length: in.ContentLength, left: left, body: from, failed: make(chan error, 1)}
-		req.Passing, req.Deadline = true, arrived+passMost.Microseconds()
+		req.Passing, req.Deadline = true, arrived+maxUploadTime.Microseconds()
 		s.request(w, in, c, nil, req, m)
 		return
 	}
@@ -342,7 +342,7 @@
 	s.request(w, in, c, c.take(alone), req, m)
 }
 
-var tooLarge = fmt.Sprintf("the body is over %d bytes", bodyMost)
+var tooLarge = fmt.Sprintf("the body is over %d bytes", maxBodyBytes)
 
 // readBody reads a request's body, up to what may be held of it. Only io.EOF says that
 // the body is whole: chunks that break off end in io.ErrUnexpectedEOF, which io.ReadFull
@@ -439,7 +439,7 @@
 	}
 	http.NewResponseController(w).Flush()
 	u.end()
-	linger(u.body, passMost)
+	linger(u.body, maxUploadTime)
 }
 
 func writeAnswer(w http.ResponseWriter, a answer) {
@@ -478,8 +478,8 @@
 			return req, bad("%s is there %d times", name, len(h[name]))
 		}
 	}
-	if id := h.Get("X-Correlation-Id"); id == "" || len(id) > idMost {
-		return req, bad("X-Correlation-Id: %d characters, must be 1 to %d", len(id), idMost)
+	if id := h.Get("X-Correlation-Id"); id == "" || len(id) > maxIDLength {
+		return req, bad("X-Correlation-Id: %d characters, must be 1 to %d", len(id), maxIDLength)
 	}
 	name := h.Get("X-Service-Class")
 	class, ok := s.classes[name]
@@ -509,7 +509,7 @@
 	if err != nil {
 		return req, bad("X-Time-Left-Ms: %q is not a whole number of milliseconds", h.Get("X-Time-Left-Ms"))
 	}
-	left = min(left, uint64(timeLeftMost.Milliseconds()))
+	left = min(left, uint64(maxTimeLeft.Milliseconds()))
 	req.Deadline = arrived + int64(left)*1000 - answerMargin.Microseconds()
 	if len(s.tenants) > 0 {
 		if req.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -264,7 +264,7 @@
 		{"two classes", func(r *http.Request) { r.Header.Add("X-Service-Class", "read") }, 400, "X-Service-Class"},
 		{"two ids", func(r *http.Request) { r.Header.Add("X-Correlation-Id", "9b1f03aa5c7e2d41") }, 400, "X-Correlation-Id"},
 		{"two keys", func(r *http.Request) { r.Header.Add("Idempotency-Key", "k") }, 400, "Idempotency-Key"},
-		{"an endless id", func(r *http.Request) { r.Header.Set("X-Correlation-Id", strings.Repeat("x", idMost+1)) }, 400, "X-Correlation-Id"},
+		{"an endless id", func(r *http.Request) { r.Header.Set("X-Correlation-Id", strings.Repeat("x", maxIDLength+1)) }, 400, "X-Correlation-Id"},
 		{"path of another class", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/read/x", "" }, 400, "path"},
 		{"path of no class", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/", "" }, 400, "path"},
 		{"time left with a sign", func(r *http.Request) { r.Header.Set("X-Time-Left-Ms", "+5") }, 400, "+5"},
@@ -283,7 +283,7 @@
 	if n, _ := e.seen(); n != 0 {
 		t.Errorf("%d malformed requests reached the endpoint", n)
 	}
-	r := w.request("pay", strings.Repeat("x", holdMost), 3*time.Second)
+	r := w.request("pay", strings.Repeat("x", maxBufferedBytes), 3*time.Second)
 	r.Header.Set("X-Account", "acme")
 	r.Header.Set("X-Weight-Hint", "90000")
 	r.Header.Set("X-Session-Key", "7f3a9c21e0b4d655")
--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -431,7 +431,7 @@
 		"not JSON":  "<html>", "no list": `{}`, "another form": `{"seq":2,"whole":true,"hosts":{"s-1":"Terminating"}}`,
 		"unusable":  `{"seq":2,"whole":true,"hosts":[{"host":"s-1","health":"Leaving"}]}`,
 		"older":     `{"seq":0,"whole":true,"hosts":[]}`,
-		"too large": `{"seq":2,"whole":true,"hosts":[],"` + strings.Repeat("x", listMost) + `":1}`,
+		"too large": `{"seq":2,"whole":true,"hosts":[],"` + strings.Repeat("x", maxListBytes) + `":1}`,
 	} {
 		for name, alter := range deployments {
 			t.Run(what+", "+name, func(t *testing.T) {
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -17,13 +17,13 @@
 )
 
 const (
-	stateVersion = 1
-	stateFile    = "oakproxy-state.json"
-	stateLock    = "oakproxy-state.lock"
-	stateMost    = 1 << 20                // bytes of a state file
-	statePoll    = 50 * time.Millisecond  // between two looks for what the other process stored
-	lockPatience = 500 * time.Millisecond // for the other process to let go of the lock: an answer is owed in 1 s
-	lockPause    = 5 * time.Millisecond
+	stateVersion  = 1
+	stateFile     = "oakproxy-state.json"
+	stateLock     = "oakproxy-state.lock"
+	maxStateBytes = 1 << 20                // bytes of a state file
+	statePoll     = 50 * time.Millisecond  // between two looks for what the other process stored
+	lockPatience  = 500 * time.Millisecond // for the other process to let go of the lock: an answer is owed in 1 s
+	lockPause     = 5 * time.Millisecond
 )
 
 // state is what operators have set by hand. It outlives a process.
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	text, err := io.ReadAll(io.LimitReader(file, stateMost))
+	text, err := io.ReadAll(io.LimitReader(file, maxStateBytes))
 	return text, info, err
 }
 
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	holdMost   = 64 << 10                // bytes of a body that is held whole; of a larger one, the first
-	holdFor    = 20 * time.Millisecond   // an answer of unknown length is held at most, once it has begun
-	restStall  = 5 * time.Second         // without a byte of an answer that is passed on, until it is given up
-	pieceMost  = 32 << 10                // bytes passed on at a time
-	pieceTime  = 10 * time.Second        // for a client to take one: it may read 64 kB a second,
-	smallMost  = 2600 * time.Millisecond // for a request that is small, however slowly it comes; of a larger body,
-	bodyGrace  = 900 * time.Millisecond  // a client may be so far behind bodyLeast
-	bodyLeast  = 32 << 10                // bytes a second: slow ones write twice that
-	passMost   = 10 * time.Minute        // for a body to come, where it is passed on meanwhile
-	lingerMost = 2 * time.Second         // for a client that is turned away unheard to write on
-	sendBuffer = 128 << 10               // and that much must not take longer to leave the socket
+	maxBufferedBytes    = 64 << 10                // bytes of a body that is held whole; of a larger one, the first
+	holdFor             = 20 * time.Millisecond   // an answer of unknown length is held at most, once it has begun
+	restStall           = 5 * time.Second         // without a byte of an answer that is passed on, until it is given up
+	maxPieceBytes       = 32 << 10                // bytes passed on at a time
+	pieceTime           = 10 * time.Second        // for a client to take one: it may read 64 kB a second,
+	maxSmallRequestTime = 2600 * time.Millisecond // for a request that is small, however slowly it comes; of a larger body,
+	bodyGrace           = 900 * time.Millisecond  // a client may be so far behind minBodyRate
+	minBodyRate         = 32 << 10                // bytes a second: slow ones write twice that
+	maxUploadTime       = 10 * time.Minute        // for a body to come, where it is passed on meanwhile
+	maxLinger           = 2 * time.Second         // for a client that is turned away unheard to write on
+	sendBuffer          = 128 << 10               // and that much must not take longer to leave the socket
 )
 
 // budget bounds the memory that bodies may take, over all requests and answers.
@@ -85,7 +85,7 @@
 // than the whole.
 func pass(w http.ResponseWriter, c *clientConn, from io.Reader) error {
 	c.boundBuffer(sendBuffer)
-	control, piece := http.NewResponseController(w), pieces.Get().(*[pieceMost]byte)
+	control, piece := http.NewResponseController(w), pieces.Get().(*[maxPieceBytes]byte)
 	defer pieces.Put(piece)
 	if err := control.Flush(); err != nil {
 		return err
@@ -110,7 +110,7 @@
 }
 
 // pieces are the buffers in which bodies are passed on.
-var pieces = sync.Pool{New: func() any { return new([pieceMost]byte) }}
+var pieces = sync.Pool{New: func() any { return new([maxPieceBytes]byte) }}
 
 // paced reads a client's body, within a limit on its size and on the time: that for
 // any request, or how far it may fall behind the pace of a slow client, of which only
@@ -126,7 +126,7 @@
 func newPaced(c *clientConn, body io.Reader) *paced {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &paced{c, body, c.begun.Add(smallMost), bodyGrace, bodyMost}
+	return &paced{c, body, c.begun.Add(maxSmallRequestTime), bodyGrace, maxBodyBytes}
 }
 
 func (p *paced) Read(b []byte) (int, error) {
@@ -137,7 +137,7 @@
 	}
 	p.conn.SetReadDeadline(until)
 	n, err := p.body.Read(b)
-	earned := time.Duration(n) * time.Second / bodyLeast
+	earned := time.Duration(n) * time.Second / minBodyRate
 	p.allowance = min(bodyGrace, p.allowance-time.Since(began)+earned)
 	if p.left -= int64(n); p.left < 0 {
 		return 0, &badRequest{http.StatusRequestEntityTooLarge, tooLarge}
@@ -149,7 +149,7 @@
 // with something unread, the connection would be reset, and the client would find
 // that and not its answer.
 func linger(p *paced, most time.Duration) {
-	piece := pieces.Get().(*[pieceMost]byte)
+	piece := pieces.Get().(*[maxPieceBytes]byte)
 	defer pieces.Put(piece)
 	for end := time.Now().Add(most); time.Now().Before(end); {
 		if _, err := p.Read(piece[:]); err != nil {
@@ -250,7 +250,7 @@
 
 // passOn writes the body to the endpoint: what is held, then what comes.
 func (m *message) passOn(c *conn) error {
-	piece := pieces.Get().(*[pieceMost]byte)
+	piece := pieces.Get().(*[maxPieceBytes]byte)
 	defer pieces.Put(piece)
 	to := &progress{conn: c, upload: m.upload, left: m.upload.length}
 	copied := func(to io.Writer) error {
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -32,7 +32,7 @@
 	for name, framed := range map[string]string{
 		"by length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
 		"in chunks": "Transfer-Encoding: chunked\r\n\r\n" + inChunks(body, 10_000) + "0\r\n\r\n",
-		"held":      fmt.Sprintf("Content-Length: %d\r\n\r\n%s", holdMost, body[:holdMost]),
+		"held":      fmt.Sprintf("Content-Length: %d\r\n\r\n%s", maxBufferedBytes, body[:maxBufferedBytes]),
 		"asked for": "Expect: 100-continue\r\n" + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
 	} {
 		conn := w.dial()
@@ -40,7 +40,7 @@
 		for i := range 2 {
 			want, size := "200 OK", len(body)
 			if name == "held" {
-				size = holdMost
+				size = maxBufferedBytes
 			}
 			fmt.Fprintf(conn, "%sX-Correlation-Id: %s%d\r\n%s", payHead, name[:1], i, framed)
 			response, err := http.ReadResponse(in, nil)
@@ -180,7 +180,7 @@
 	for name, answer := range map[string]string{"with an answer": full, "by closing": ""} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, func(_ *endpoint, conn net.Conn, in *bufio.Reader) {
-				in.Discard(holdMost)
+				in.Discard(maxBufferedBytes)
 				io.WriteString(conn, answer)
 				if answer != "" {
 					io.Copy(io.Discard, in)
@@ -188,13 +188,13 @@
 			})
 			w := start(t, nil, ready("s-1", e.address))
 			conn := w.dial()
-			fmt.Fprintf(conn, "%sX-Correlation-Id: 1\r\nContent-Length: %d\r\n\r\n%s", payHead, large, strings.Repeat("x", 2*holdMost))
+			fmt.Fprintf(conn, "%sX-Correlation-Id: 1\r\nContent-Length: %d\r\n\r\n%s", payHead, large, strings.Repeat("x", 2*maxBufferedBytes))
 			in := bufio.NewReader(conn)
 			response, err := http.ReadResponse(in, nil)
 			if err != nil || response.StatusCode != 503 || response.Header.Get("Retry-After") == "" || !response.Close {
 				t.Fatalf("%v, %v", response, err)
 			}
-			if _, err := io.WriteString(conn, strings.Repeat("x", large-2*holdMost)); err != nil {
+			if _, err := io.WriteString(conn, strings.Repeat("x", large-2*maxBufferedBytes)); err != nil {
 				t.Errorf("the rest of the body: %v", err)
 			}
 			if _, err := io.Copy(io.Discard, in); err != nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	headMost     = 32 << 10 // bytes of a request's head
+	maxHeadBytes = 32 << 10 // bytes of a request's head
 	probeTimeout = 400 * time.Millisecond
 )
 
@@ -22,11 +22,11 @@
 // by itself repeats what it finds safe to repeat on a dead idle connection:
 // each such repetition would be an attempt that the balancer never decided.
 type upstream struct {
-	dialer   net.Dialer
-	idleMost time.Duration // idle connections are not used for longer,
-	rest     time.Duration // nor for so long after an answer
-	fields   []string      // of load reports
-	room     *budget       // for the bodies of answers
+	dialer  net.Dialer
+	maxIdle time.Duration // idle connections are not used for longer,
+	rest    time.Duration // nor for so long after an answer
+	fields  []string      // of load reports
+	room    *budget       // for the bodies of answers
 
 	mu                  sync.Mutex
 	open                int // connections, those being dialled included
@@ -65,7 +65,7 @@
 		dialer: net.Dialer{Timeout: time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond},
 		// An endpoint closes an idle connection when its time is over at the
 		// latest, and what is written to it from then on is lost.
-		idleMost: cfg.idle * 3 / 4, rest: answerPause,
+		maxIdle: cfg.idle * 3 / 4, rest: answerPause,
 		fields: cfg.fields, room: room, most: connections, idle: map[*target][]*conn{},
 	}
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -170,7 +170,7 @@
 	u := newTestUpstream(t, 1)
 	u.dialer.Control = small(syscall.SO_SNDBUF)
 	m := get("/")
-	m.method, m.body = http.MethodPost, make([]byte, bodyMost)
+	m.method, m.body = http.MethodPost, make([]byte, maxBodyBytes)
 	if r := u.attempt(context.Background(), &target{address: listener.Addr().String()}, m, &gate{}); r.status != balancer.ConnectFailed {
 		t.Errorf("status %v, want ConnectFailed", r.status)
 	}
@@ -255,8 +255,8 @@
 func TestIdleConnectionsAreRetiredEarly(t *testing.T) {
 	e := newEndpoint(t, always(served))
 	u, at := newTestUpstream(t, 4), &target{address: e.address}
-	if limit := 5 * time.Second; u.idleMost > limit*4/5 {
-		t.Errorf("idle connections are used for %v of %v", u.idleMost, limit)
+	if limit := 5 * time.Second; u.maxIdle > limit*4/5 {
+		t.Errorf("idle connections are used for %v of %v", u.maxIdle, limit)
 	}
 	attempt := func() {
 		t.Helper()
@@ -265,7 +265,7 @@
 		}
 	}
 	attempt()
-	u.idle[at][0].idleAt = time.Now().Add(-u.idleMost)
+	u.idle[at][0].idleAt = time.Now().Add(-u.maxIdle)
 	attempt()
 	if _, conns := e.seen(); conns != 2 {
 		t.Errorf("%d connections, want a second one after the idle time", conns)
@@ -274,7 +274,7 @@
 	if u.open != 1 {
 		t.Errorf("the sweep left %d connections open, want the one in use lately", u.open)
 	}
-	u.idle[at][0].idleAt = time.Now().Add(-u.idleMost)
+	u.idle[at][0].idleAt = time.Now().Add(-u.maxIdle)
 	u.prune()
 	if u.open != 0 || len(u.idle[at]) != 0 {
 		t.Errorf("the sweep left %d open connections", u.open)
@@ -340,7 +340,7 @@
 	}{
 		{"to make room", func(*upstream) {}, maxOpen},
 		{"beyond a lower limit", func(u *upstream) { u.limit(1) }, 1},
-		{"idle for too long", func(u *upstream) { u.idleMost = 0; u.prune() }, 0},
+		{"idle for too long", func(u *upstream) { u.maxIdle = 0; u.prune() }, 0},
 	} {
 		u := newTestUpstream(t, maxOpen)
 		var all []weak.Pointer[conn]
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -64,8 +64,8 @@
 
 // What requests name by a number is bounded by that number's size.
 const (
-	classesMost = math.MaxUint8 + 1
-	tenantsMost = math.MaxUint16 + 1
+	maxClasses = math.MaxUint8 + 1
+	maxTenants = math.MaxUint16 + 1
 )
 
 // count returns the length of a list of objects, each of which must be there.
@@ -177,7 +177,7 @@
 			s.Fields = append(s.Fields, fieldNames[f])
 		}
 	}
-	for i := range t.count("classes", true, classesMost) {
+	for i := range t.count("classes", true, maxClasses) {
 		at := fmt.Sprintf("classes.%d.", i)
 		for _, key := range [...]string{"target", "give-up", "repeat"} {
 			if _, ok := t.pairs[at+key]; !ok && t.err == nil {
@@ -198,7 +198,7 @@
 			Stream:    t.flag(at+"stream", false),
 		})
 	}
-	for i := range t.count("tenants", false, tenantsMost) {
+	for i := range t.count("tenants", false, maxTenants) {
 		at := fmt.Sprintf("tenants.%d.", i)
 		s.Tenants = append(s.Tenants, balancer.Tenant{
 			Name:      t.pairs[at+"name"],
