Call the start-up of endpoints slow start in the code

Cause: chill, chills, chilled and owed were words of our own for what the field calls slow start. Change: chilled becomes beginSlowStart, chill coldSlowness, chills coldSamples, and owed pending, with their constants. Learned is taken apart by topic; its JSON names stay, so that processes of both versions read the file.

--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -5,13 +5,18 @@
 // Learned is what a balancer has found out of the fleet. The next process of the same sidecar goes on from it: to
 // find it out again takes seconds, in which a first slow answer or two pass for what all endpoints are like.
 type Learned struct {
-	Pace, Chill, Waits, Lag float64
-	Usual, UsualCold        float64
-	Chills                  int // answers that Chill is from
-	ReportsLate             bool
-	Works                   []float64 // by class
-	Ways                    []LearnedWay
-	Endpoints               []LearnedEndpoint
+	Pace        float64
+	Waits, Lag  float64
+	ReportsLate bool
+
+	Usual, UsualCold float64
+
+	ColdSlowness float64 `json:"Chill"`  // the file keeps the names that processes of earlier versions read
+	ColdSamples  int     `json:"Chills"` // answers that ColdSlowness is from
+
+	Works     []float64 // by class
+	Ways      []LearnedWay
+	Endpoints []LearnedEndpoint
 }
 
 // LearnedWay is the way to a zone.
@@ -33,8 +38,12 @@
 
 // Learned returns what is known by now.
 func (b *Balancer) Learned() Learned {
-	l := Learned{Pace: b.fleet.v, Chill: b.chill.v, Waits: b.waits.v, Lag: b.lag.v,
-		Usual: b.usual.v, UsualCold: b.usualCold.v, Chills: b.chills, ReportsLate: b.reportsLate}
+	l := Learned{
+		Pace:  b.fleet.v,
+		Waits: b.waits.v, Lag: b.lag.v, ReportsLate: b.reportsLate,
+		Usual: b.usual.v, UsualCold: b.usualCold.v,
+		ColdSlowness: b.coldSlowness.v, ColdSamples: b.coldSamples,
+	}
 	for i := range b.classes {
 		l.Works = append(l.Works, b.classes[i].work.v)
 	}
@@ -57,7 +66,8 @@
 		return // of a process that knew nothing, or of other settings
 	}
 	b.fleet = ewma{l.Pace, true}
-	b.chill.v, b.chills = min(1, max(0, l.Chill)), max(0, l.Chills)
+	b.coldSlowness.v = min(1, max(0, l.ColdSlowness))
+	b.coldSamples = max(0, l.ColdSamples)
 	b.waits = ewma{min(1, max(0, l.Waits)), true}
 	b.lag.v, b.reportsLate = min(1, max(0, l.Lag)), l.ReportsLate
 	if sound(l.Usual) {
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -66,13 +66,13 @@
 func TestSenselessLearnedIsIgnored(t *testing.T) {
 	for name, l := range map[string]Learned{
 		"nothing": {}, "other classes": {Pace: 2, Works: []float64{1}}, "no pace": {Pace: math.NaN(), Works: make([]float64, 5)},
-		"endless": {Pace: math.Inf(1), Works: make([]float64, 5)}, "no work": {Pace: 1, Works: make([]float64, 5), Chill: 9},
+		"endless": {Pace: math.Inf(1), Works: make([]float64, 5)}, "no work": {Pace: 1, Works: make([]float64, 5), ColdSlowness: 9},
 	} {
 		b, _ := start(t, testSettings(), ready(2))
 		work := b.classes[0].work.v
 		b.Learn(&l)
-		if b.classes[0].work.v != work || b.chill.v > 1 || !sound(b.fleet.or(1)) {
-			t.Errorf("%s: work %v, chill %v, pace %v", name, b.classes[0].work.v, b.chill.v, b.fleet.v)
+		if b.classes[0].work.v != work || b.coldSlowness.v > 1 || !sound(b.fleet.or(1)) {
+			t.Errorf("%s: work %v, coldSlowness %v, pace %v", name, b.classes[0].work.v, b.coldSlowness.v, b.fleet.v)
 		}
 	}
 }
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -64,7 +64,7 @@
 	if cold {
 		b.spare -= r.work * coldCharge
 		e.taken += r.work * coldCharge
-		e.owed = false
+		e.pending = false
 		b.turn = nil
 		b.stats.ColdSends++
 	}
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -38,7 +38,7 @@
 func (b *Balancer) Start(now Micros) {
 	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
 	b.trend, b.trust = 1, 0.5
-	b.chill = ewma{v: chillFirst, seen: true}
+	b.coldSlowness = ewma{v: coldSlownessFirst, seen: true}
 	b.usual = mean{v: usualFirst, n: usualGuess}
 	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, minPassInterval
 	b.firstAsk(now)
--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -65,7 +65,7 @@
 	}
 	b.largest = max(b.largest, float64(e.Share))
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
-		b.chilled(now, e, started)
+		b.beginSlowStart(now, e, started)
 	}
 	if probe && (fresh || restarted) {
 		b.probe(now, e)
@@ -89,11 +89,11 @@
 			*e = endpoint{Endpoint: e.Endpoint, seen: e.seen, pooled: e.pooled, inflight: e.inflight,
 				writing: e.writing}
 			if now-since < b.s.Contract.RampTime {
-				b.chilled(now, e, since)
+				b.beginSlowStart(now, e, since)
 				// Staff wait to see it serve. One request each is soon more than it can bear.
 				c, work := &b.s.Contract, b.classes[0].work.v
 				n := c.FallMultiple * c.ColdFrom * float64(c.OverloadFor) / work
-				if e.owed = b.rng.float()*float64(b.s.Balancers) < min(maxPending, 1+owedShare*n); e.owed {
+				if e.pending = b.rng.float()*float64(b.s.Balancers) < min(maxPending, 1+pendingShare*n); e.pending {
 					b.spare = max(b.spare, 2*coldCharge*work) // and its probes
 				}
 			}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -137,7 +137,7 @@
 		e.pooled = e.usable() && now-e.answerAt <= fresh
 		return !e.pooled
 	})
-	if e := b.turn; e != nil && e.owed && e.heardAt > 0 && e != not && b.maySend(now, r, e) {
+	if e := b.turn; e != nil && e.pending && e.heardAt > 0 && e != not && b.maySend(now, r, e) {
 		return e
 	}
 	if e := b.home(now, r, not); e != nil {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -252,10 +252,10 @@
 	b, _ := start(t, testSettings(), ready(2))
 	b.Members(1000, ListDelta, []Endpoint{{ID: 9, State: Ready, StartTime: 1000}})
 	e := b.byID[9]
-	if got := e.paceNow(1000, b); !near(got, 1+4*chillFirst) { // warmth 0.2
+	if got := e.paceNow(1000, b); !near(got, 1+4*coldSlownessFirst) { // warmth 0.2
 		t.Errorf("pace %v just started, before any was seen", got)
 	}
-	b.chill = ewma{v: 1, seen: true} // as slow as its least warmth makes it
+	b.coldSlowness = ewma{v: 1, seen: true} // as slow as its least warmth makes it
 	if got := e.paceNow(1000, b); !near(got, 5) {
 		t.Errorf("pace %v just started", got)
 	}
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -73,8 +73,8 @@
 	e.pace = ewma{v: warm, seen: true}
 	e.pace.add(x/slowed, paceWeight)
 	if least := e.warmth(now, b); least < 1 && warm > 0 {
-		b.chills++
-		b.chill.add(min(1, max(0, (x/warm-1)/(1/least-1))), chillWeight)
+		b.coldSamples++
+		b.coldSlowness.add(min(1, max(0, (x/warm-1)/(1/least-1))), coldSlownessWeight)
 	}
 	e.paceAt = now
 	if atLeast {
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -9,19 +9,19 @@
 // begins with a whole send saved, so that this comes evenly; N + 2 root N + 2 make it fall. One put back by
 // hand gets up to 2 from each of min(10, 1 + 0.4 N) on top: 2 + 1.29 N up to N = 22, then 20 + 0.49 N.
 const (
-	coldShare   = 0.28 // of the multiple at which it falls over
-	coldCharge  = 1.15
-	warmthMore  = 1.0 // times the least warmth is believed on top, once so many
-	warmthTells = 20  // answers showed it: with coldShare, that is far from what makes one fall over
-	chillFirst  = 0.2 // of the slowness that the least warmth makes, until more is known
-	chillWeight = 0.05
-	probeShare  = 0.01 // of a request's work, taken from the cold endpoints' room by a probe
-	maxPending  = 10   // balancers that send one at once to an endpoint put back by hand,
-	owedShare   = 0.4  // and more than one by this share of the requests that it may get at first
+	coldShare          = 0.28 // of the multiple at which it falls over
+	coldCharge         = 1.15
+	warmthMore         = 1.0 // times the least warmth is believed on top, once so many
+	warmthTells        = 20  // answers showed it: with coldShare, that is far from what makes one fall over
+	coldSlownessFirst  = 0.2 // of the slowness that the least warmth makes, until more is known
+	coldSlownessWeight = 0.05
+	probeShare         = 0.01 // of a request's work, taken from the cold endpoints' room by a probe
+	maxPending         = 10   // balancers that send one at once to an endpoint put back by hand,
+	pendingShare       = 0.4  // and more than one by this share of the requests that it may get at first
 )
 
-// chilled marks e as warming up since then.
-func (b *Balancer) chilled(now Micros, e *endpoint, since Micros) {
+// beginSlowStart marks e as warming up since then.
+func (b *Balancer) beginSlowStart(now Micros, e *endpoint, since Micros) {
 	// A quiet balancer takes long to earn one send: all start somewhere on that way, and with another
 	// endpoint, or none would send anything while it is cold. What they saved meanwhile would come at once,
 	// and an endpoint with nothing to its name would get all until it has as much as the others.
@@ -46,7 +46,7 @@
 func (b *Balancer) earn(now Micros, work float64) {
 	var warm, ready, cold, least, level float64
 	b.turn = nil
-	believed := 1 + warmthMore*min(1, float64(b.chills)/warmthTells)
+	believed := 1 + warmthMore*min(1, float64(b.coldSamples)/warmthTells)
 	for _, o := range b.list {
 		if !o.usable() {
 			continue
@@ -63,7 +63,7 @@
 		if level == 0 || got < level {
 			level = got
 		}
-		if got *= share(!o.owed || o.heardAt == 0); b.turn == nil || got < least {
+		if got *= share(!o.pending || o.heardAt == 0); b.turn == nil || got < least {
 			b.turn, least = o, got
 		}
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -18,21 +18,21 @@
 	open     int                 // requests without final answer
 	held     []*request          // requests that wait for probes
 
-	byID     map[uint32]*endpoint
-	known    map[uint64]LearnedEndpoint // by name, until listed
-	list     []*endpoint                // known endpoints in the order first heard of
-	cordoned map[uint64]bool            // names of endpoints that are left out by hand
-	listed   bool                       // discovery has answered since the start
-	pool     []*endpoint                // endpoints with a fresh answer
-	turn     *endpoint                  // the cold one that may be sent to next
-	spare    float64                    // work that all cold ones together may still get,
-	spareAt  Micros                     // as of then
-	level    float64                    // least work that one of the cold ones got, for its warmth; 0 where none is cold
-	chill    ewma                       // of the slowness that the least warmth of a cold endpoint makes, the part that shows
-	chills   int                        // latencies in that
-	largest  float64                    // share of any listed endpoint
-	asks     float64                    // probes that go with a request, while sparse
-	sparse   bool                       // probes are asked for single requests
+	byID         map[uint32]*endpoint
+	known        map[uint64]LearnedEndpoint // by name, until listed
+	list         []*endpoint                // known endpoints in the order first heard of
+	cordoned     map[uint64]bool            // names of endpoints that are left out by hand
+	listed       bool                       // discovery has answered since the start
+	pool         []*endpoint                // endpoints with a fresh answer
+	turn         *endpoint                  // the cold one that may be sent to next
+	spare        float64                    // work that all cold ones together may still get,
+	spareAt      Micros                     // as of then
+	level        float64                    // least work that one of the cold ones got, for its warmth; 0 where none is cold
+	coldSlowness ewma                       // of the slowness that the least warmth of a cold endpoint makes, the part that shows
+	coldSamples  int                        // latencies in that
+	largest      float64                    // share of any listed endpoint
+	asks         float64                    // probes that go with a request, while sparse
+	sparse       bool                       // probes are asked for single requests
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
@@ -115,7 +115,7 @@
 	Endpoint
 	seen     bool // named by the list being read
 	out      bool // left out by hand
-	owed     bool // put back by hand, and a request is to show that it serves
+	pending  bool // put back by hand, and a request is to show that it serves
 	isCold   bool
 	coldFrom Micros  // start of its warm-up
 	taken    float64 // work that it got from us while cold
@@ -369,7 +369,7 @@
 // slowed is how many times longer than once warm a request takes at e. Its warmth is only the least that it may
 // have by now: how much of that slowness there is shows in the latencies of the cold ones.
 func (e *endpoint) slowed(now Micros, b *Balancer) float64 {
-	return 1 + (1/e.warmth(now, b)-1)*b.chill.v
+	return 1 + (1/e.warmth(now, b)-1)*b.coldSlowness.v
 }
 
 // warmth is the least share of its capacity that e has by now.
