Use the field's terms in the counts and in the event loop

Cause: spoilt, lined, urge, depart and back were words of our own; on-call staff read two of them in every log. In the loop urge becomes runUrgent, depart and back become acquire and release; spoiltError becomes malformedError. Result: the tests of balancer and sidecar pass; tests change in names only.

--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -485,13 +485,13 @@
 		if way := b.ways[0].v; way < 11_000 || way > 15_000 {
 			t.Errorf("%s: a way of %.0f us, want 11 to 15 ms", c.name, way)
 		}
-		lined := 0
+		queued := 0
 		for range 100 {
 			probed(11_000+noise.below(6000), 0)
-			lined += int(share(b.load(b.byID[1]) > 0))
+			queued += int(share(b.load(b.byID[1]) > 0))
 		}
-		if lined > 5 {
-			t.Errorf("%s: %d of 100 probes of an idle endpoint show a load", c.name, lined)
+		if queued > 5 {
+			t.Errorf("%s: %d of 100 probes of an idle endpoint show a load", c.name, queued)
 		}
 		probed(60_000, 0)
 		if got := b.load(b.byID[1]); got < cores {
--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -166,7 +166,7 @@
 	b.waits.add(share(line >= minQueued), shareWeight)
 	b.stats.Held += max(0, held)
 	if held >= 0 && line >= minQueued {
-		b.stats.Lined++
+		b.stats.Queued++
 		held = max(held, cores+line)
 	}
 	if held >= 0 {
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -21,8 +21,8 @@
 	ColdSends, ColdOK, ColdTimeouts uint64
 	ColdExpected, ColdLatency       Micros
 
-	Held  float64 // sum of the requests that these reported
-	Lined uint64  // of these, those whose wait was taken for a line of requests
+	Held   float64 // sum of the requests that these reported
+	Queued uint64  // of these, those whose wait was taken for a line of requests
 
 	Open, InFlight, Writing, Listed, Cordoned, Cold, Ejected, Pooled int
 
@@ -82,7 +82,7 @@
 	ok, probed := s.Outcomes[OK]-old.Outcomes[OK], s.Probes[OK]-old.Probes[OK]
 	coldOK := s.ColdOK - old.ColdOK
 	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d outcomes=%s "+
-		"expected_ms=%.1f latency_ms=%.1f cold_sends=%d cold_ok=%d cold_timeouts=%d cold_expected_ms=%.1f cold_latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d writing=%d listed=%d cordoned=%d cold=%d ejected=%d "+
+		"expected_ms=%.1f latency_ms=%.1f cold_sends=%d cold_ok=%d cold_timeouts=%d cold_expected_ms=%.1f cold_latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f queued=%d open=%d inflight=%d writing=%d listed=%d cordoned=%d cold=%d ejected=%d "+
 		"pooled=%d load=%.2f pace=%.2f slowdown=%.2f refused_share=%.2f reports_late=%v",
 		s.Requests-old.Requests, s.Sends-old.Sends, s.Refused-old.Refused, s.Failed-old.Failed,
 		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, statuses(&s.Outcomes, &old.Outcomes),
@@ -90,7 +90,7 @@
 		s.ColdSends-old.ColdSends, coldOK, s.ColdTimeouts-old.ColdTimeouts,
 		mean(s.ColdExpected-old.ColdExpected, coldOK), mean(s.ColdLatency-old.ColdLatency, coldOK),
 		statuses(&s.Probes, &old.Probes), mean(s.ProbeLatency-old.ProbeLatency, probed),
-		(s.Held-old.Held)/float64(max(1, probed)), s.Lined-old.Lined,
+		(s.Held-old.Held)/float64(max(1, probed)), s.Queued-old.Queued,
 		s.Open, s.InFlight, s.Writing, s.Listed, s.Cordoned, s.Cold, s.Ejected, s.Pooled,
 		s.Load, s.Pace, s.Slowdown, s.RefusedOf, s.ReportsLate)
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -145,7 +145,7 @@
 		return &refusal{http.StatusBadRequest, "name=ID must name one endpoint"}
 	}
 	name, known := names[0], false
-	a.server.loop.urge(func(balancer.Micros) { known = a.server.loop.knows(name) })
+	a.server.loop.runUrgent(func(balancer.Micros) { known = a.server.loop.knows(name) })
 	if !known {
 		return &refusal{http.StatusNotFound, "no endpoint has this name"}
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -152,10 +152,10 @@
 	older    time.Duration // without a list, until an older version is taken for a new numbering
 }
 
-// spoiltError is an answer that can't be used. What it should have told counts as told.
-type spoiltError struct{ error }
+// malformedError is an answer that can't be used. What it should have told counts as told.
+type malformedError struct{ error }
 
-func (e *spoiltError) Unwrap() error { return e.error }
+func (e *malformedError) Unwrap() error { return e.error }
 
 // errOlder is an answer of a version older than what is held.
 var errOlder = errors.New("older than the list that is held")
@@ -205,13 +205,13 @@
 		return list, fmt.Errorf("discovery answered %s", response.Status)
 	}
 	if len(body) > maxListBytes {
-		return list, &spoiltError{fmt.Errorf("discovery's answer is over %d bytes", maxListBytes)}
+		return list, &malformedError{fmt.Errorf("discovery's answer is over %d bytes", maxListBytes)}
 	}
 	if err := json.Unmarshal(body, &list); err != nil {
-		return list, &spoiltError{fmt.Errorf("discovery's answer: %w", err)}
+		return list, &malformedError{fmt.Errorf("discovery's answer: %w", err)}
 	}
 	if after == nil && !list.Whole {
-		return list, &spoiltError{errors.New("discovery's answer: changes, where the whole list was asked for")}
+		return list, &malformedError{errors.New("discovery's answer: changes, where the whole list was asked for")}
 	}
 	return list, nil
 }
@@ -226,18 +226,18 @@
 // watch reports what discovery tells until a call fails. The first call does not wait
 // for news: its answer is the balancer's sign that the watch has begun. An answer that
 // can't be used is asked for once more before that counts as a failure.
-func (d *discovery) watch(ctx context.Context, from position, heard func(registry), spoilt func(error)) error {
+func (d *discovery) watch(ctx context.Context, from position, heard func(registry), malformed func(error)) error {
 	repeated := false
 	for wait := time.Duration(0); ; pause(ctx, watchPause) {
 		list, err := d.list(ctx, from.after, wait)
 		if err == nil && list.Seq < from.newest {
 			if from.after = nil; !list.Whole || time.Now().Before(from.settle) {
-				err = &spoiltError{fmt.Errorf("discovery's answer: version %d is %w, %d", list.Seq, errOlder, from.newest)}
+				err = &malformedError{fmt.Errorf("discovery's answer: version %d is %w, %d", list.Seq, errOlder, from.newest)}
 			}
 		}
-		var bad *spoiltError
+		var bad *malformedError
 		if errors.As(err, &bad) && !repeated {
-			spoilt(err)
+			malformed(err)
 			repeated, wait = true, 0
 			pause(ctx, jittered(agentPause))
 			continue
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -78,18 +78,18 @@
 func (s *server) company(ctx context.Context, log *slog.Logger) {
 	tick := time.NewTicker(seatPoll)
 	defer tick.Stop()
-	told, of := false, 1
+	notified, of := false, 1
 	for {
 		if alive, _ := s.seat.others(); alive+1 != of {
 			of = alive + 1
 			s.share(of)
 			log.Info("processes of this sidecar", "count", of)
 		}
-		if !told && s.loop.listed.Load() {
+		if !notified && s.loop.listed.Load() {
 			if err := s.seat.ready(); err != nil {
 				log.Warn("the other process is not told that this one serves", "error", err)
 			}
-			told = true
+			notified = true
 		}
 		select {
 		case <-tick.C:
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -217,9 +217,9 @@
 	}
 }
 
-// urge has the loop do something ahead of all events that wait, and waits until
+// runUrgent has the loop do something ahead of all events that wait, and waits until
 // it is done, or the loop has ended.
-func (l *loop) urge(event func(now balancer.Micros)) {
+func (l *loop) runUrgent(event func(now balancer.Micros)) {
 	done := make(chan struct{})
 	select {
 	case l.urgent <- func(now balancer.Micros) { event(now); close(done) }:
@@ -388,10 +388,10 @@
 	}
 }
 
-// depart counts something out to an endpoint and returns where that is reached,
+// acquire counts something out to an endpoint and returns where that is reached,
 // nil if nothing may go there. The balancer may know an endpoint for a moment
 // longer than the loop does.
-func (l *loop) depart(id uint32) *target {
+func (l *loop) acquire(id uint32) *target {
 	e := l.fleet[id]
 	if e == nil {
 		return nil
@@ -400,8 +400,8 @@
 	return e.target
 }
 
-// back is depart's end.
-func (l *loop) back(id uint32) {
+// release is the end of what acquire began.
+func (l *loop) release(id uint32) {
 	if e := l.fleet[id]; e != nil {
 		e.out--
 		l.forgetMember(id)
@@ -410,7 +410,7 @@
 
 // Send starts an attempt.
 func (l *loop) Send(id uint64, endpoint uint32, latest balancer.Micros) {
-	r, t := l.requests[id], l.depart(endpoint)
+	r, t := l.requests[id], l.acquire(endpoint)
 	now, g := l.clock.now(), &gate{gone: r.gone}
 	if latest > 0 {
 		g.latest = l.clock.time(latest)
@@ -433,7 +433,7 @@
 				}
 			}
 			l.outcome(at, r, o, res)
-			l.back(endpoint)
+			l.release(endpoint)
 		})
 	}()
 }
@@ -464,7 +464,7 @@
 
 // Probe asks an endpoint for its load.
 func (l *loop) Probe(endpoint uint32) {
-	t := l.depart(endpoint)
+	t := l.acquire(endpoint)
 	go func() {
 		res := result{status: balancer.Moot}
 		if t != nil {
@@ -472,7 +472,7 @@
 		}
 		l.post(func(now balancer.Micros) {
 			l.balancer.Probed(now, endpoint, res.status, res.took.Microseconds(), res.load)
-			l.back(endpoint)
+			l.release(endpoint)
 		})
 	}()
 }
@@ -496,12 +496,12 @@
 	heard := func(list registry) {
 		tell(func(now balancer.Micros) { l.hear(now, list) })
 	}
-	spoilt := func(err error) {
+	malformed := func(err error) {
 		tell(func(now balancer.Micros) { l.miss(now, err) })
 	}
 	go func() {
 		for ctx.Err() == nil {
-			err := disc.watch(ctx, from, heard, spoilt)
+			err := disc.watch(ctx, from, heard, malformed)
 			next := make(chan position, 1)
 			tell(func(now balancer.Micros) {
 				l.miss(now, err)
@@ -522,12 +522,12 @@
 
 // callCounts counts calls of discovery by how they ended, and entries of lists that
 // could not be used.
-type callCounts struct{ answered, silent, failed, spoilt, lost uint64 }
+type callCounts struct{ answered, silent, failed, malformed, lost uint64 }
 
 // since tells what was counted since then, and how.
 func (c callCounts) since(old callCounts) string {
-	return fmt.Sprintf("[answered:%d silent:%d failed:%d spoilt:%d lost:%d]", c.answered-old.answered,
-		c.silent-old.silent, c.failed-old.failed, c.spoilt-old.spoilt, c.lost-old.lost)
+	return fmt.Sprintf("[answered:%d silent:%d failed:%d malformed:%d lost:%d]", c.answered-old.answered,
+		c.silent-old.silent, c.failed-old.failed, c.malformed-old.malformed, c.lost-old.lost)
 }
 
 // hear takes an answer of discovery.
@@ -547,10 +547,10 @@
 
 // miss takes the failure of a call of discovery.
 func (l *loop) miss(now balancer.Micros, err error) {
-	var bad *spoiltError
+	var bad *malformedError
 	switch {
 	case errors.As(err, &bad):
-		l.calls.spoilt++
+		l.calls.malformed++
 	case errors.Is(err, context.DeadlineExceeded):
 		l.calls.silent++
 	default:
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -226,7 +226,7 @@
 	if s.drained.Swap(st.Drained) != st.Drained {
 		s.loop.log.Info("by hand", "drained", st.Drained)
 	}
-	s.loop.urge(func(now balancer.Micros) { s.loop.mark(now, st.Hosts) })
+	s.loop.runUrgent(func(now balancer.Micros) { s.loop.mark(now, st.Hosts) })
 }
 
 // isReady says whether clients may send requests here.
--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -168,7 +168,7 @@
 	s.reply = words
 }
 
-// left counts the spoilt answers that are still to be given.
+// left counts the malformed answers that are still to be given.
 func (s *silence) left() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -439,8 +439,8 @@
 					l, dir := bubble(t, alter)
 					dir.watched()
 					dir.say(words)
-					dir.drain() // the open call's answer is the spoilt one
-					spoiltAt(t, l, dir)
+					dir.drain() // the open call's answer is the malformed one
+					malformedAt(t, l, dir)
 				})
 			})
 		}
@@ -451,14 +451,14 @@
 				dir, dial := newSilence(t)
 				dir.words = []string{`{"seq":2`}
 				dir.drain()
-				spoiltAt(t, watching(t, dial, deployments["asked, grace 0.5 s"], seed), dir)
+				malformedAt(t, watching(t, dial, deployments["asked, grace 0.5 s"], seed), dir)
 			})
 		})
 	}
 }
 
-// spoiltAt waits until the spoilt answer is given, and for what is to follow.
-func spoiltAt(t *testing.T, l *loop, dir *silence) {
+// malformedAt waits until the malformed answer is given, and for what is to follow.
+func malformedAt(t *testing.T, l *loop, dir *silence) {
 	t.Helper()
 	for dir.left() > 0 {
 		time.Sleep(time.Millisecond)
@@ -470,8 +470,8 @@
 	}
 	drained(t, l, told)
 	l.post(func(int64) {
-		if l.calls.spoilt == 0 {
-			t.Errorf("calls %+v, want a spoilt one", l.calls)
+		if l.calls.malformed == 0 {
+			t.Errorf("calls %+v, want a malformed one", l.calls)
 		}
 	})
 	synctest.Wait()
