Split the client side of the sidecar into files with one job each

A connection beyond the limit is rejected or dropped, no longer atDoor or turnedAway; the test of that names the answer rejection.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,12 +1,9 @@
 package sidecar
 
 import (
-	"bytes"
 	"container/list"
-	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 )
@@ -30,7 +27,7 @@
 	closeDrain    = 500 * time.Millisecond // for a client to end its side after the sidecar has
 	maxDrainBytes = 1 << 20                // bytes read of it meanwhile
 	maxRejected   = 4                      // connections beyond the limit that are told so; out of socketSpare
-	atDoorAnswer  = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+	rejection     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Accept returns the next connection. Beyond the limit one that carries nothing makes
@@ -47,10 +44,10 @@
 		switch l.admit(c) {
 		case admitted:
 			return c, nil
-		case atDoor:
-			io.WriteString(raw, atDoorAnswer) // it has room for that
+		case rejected:
+			io.WriteString(raw, rejection) // it has room for that
 			c.Close()
-		case turnedAway:
+		case dropped:
 			raw.Close()
 		}
 	}
@@ -60,9 +57,9 @@
 type admission uint8
 
 const (
-	admitted   admission = iota
-	atDoor               // there is no room but for saying so
-	turnedAway           // nor for that
+	admitted admission = iota
+	rejected           // there is no room but for saying so
+	dropped            // nor for that
 )
 
 // admit counts a new connection in and closes those that must go for it.
@@ -72,13 +69,13 @@
 	for l.open >= l.most && l.evict() {
 	}
 	if l.open >= l.most+maxRejected {
-		return turnedAway
+		return dropped
 	}
 	room := l.open < l.most
 	l.open++
 	c.since = time.Now()
 	if !room {
-		return atDoor
+		return rejected
 	}
 	c.place = l.waiting.PushBack(c)
 	return admitted
@@ -157,209 +154,6 @@
 	}
 }
 
-// clientConn is one connection of a client. It carries one request at a time.
-type clientConn struct {
-	net.Conn
-	owner   *clients
-	place   *list.Element // in owner.waiting; nil while a request is open
-	drained *list.Element // in owner.closing, once half-closed
-	since   time.Time     // it has waited without a byte
-	asked   bool          // a request has come on it
-	gone    bool          // no longer counted
-
-	mu      sync.Mutex    // net/http reads on while a handler runs
-	evicted bool          // it had to make room: what comes now is not read
-	ended   bool          // the client has ended its side, or the connection is broken
-	resets  bool          // it is to end in a reset
-	closed  bool          // Close was called
-	inHand  bool          // a whole request has come and its answer has not begun
-	behind  bool          // something came behind that request, which nobody will answer
-	left    chan struct{} // closed when the client ends its side behind that; nil before
-	head    headScan
-	begun   time.Time // of the request that is being read: of the first one with the connection
-	readBy  time.Time // the deadline that net/http has set
-	expired bool      // it is to end unless something has come
-}
-
-// expire ends a connection on which nothing has come since its last request. It
-// wakes the read that waits there, and Read has the last word.
-func (c *clientConn) expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.head.size == 0 {
-		c.expired = true
-		c.Conn.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// spared says that a connection which was to end has got something to read after
-// all: closed now, it would take a request along.
-func (c *clientConn) spared() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.expired {
-		return false // the deadline was net/http's own
-	}
-	c.expired = false
-	if c.head.size == 0 && !readable(c.Conn) || !c.readBy.IsZero() && !time.Now().Before(c.readBy) {
-		return false
-	}
-	c.Conn.SetReadDeadline(c.readBy)
-	return true
-}
-
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readBy = t
-	return c.Conn.SetReadDeadline(t)
-}
-
-// giveWay says whether a connection carries nothing and may be closed for another: with
-// nothing to read, and less than a head read since its last request.
-// From then on nothing is read of it: a request that crosses is the client's to repeat.
-func (c *clientConn) giveWay() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.head.end > 0 || readable(c.Conn) {
-		return false
-	}
-	c.evicted = true
-	return true
-}
-
-// take marks that a whole request has come, with something behind it or not. Until its
-// answer begins, the client's end is looked for behind whatever else comes: it sends one
-// request at a time, and net/http, which would tell of the end, reads but one byte.
-func (c *clientConn) take(alone bool) (left <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inHand, c.left = true, make(chan struct{})
-	if !alone || c.head.size > 0 {
-		c.readBehind()
-	}
-	return c.left
-}
-
-// give marks that the answer begins, and says whether something came behind the request.
-func (c *clientConn) give() (behind bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inHand = false
-	return c.behind
-}
-
-// readBehind reads on until the client ends its side or the connection is closed, which
-// it is after the answer. It holds c.mu.
-func (c *clientConn) readBehind() {
-	if c.behind {
-		return
-	}
-	c.behind = true
-	go func() {
-		err := c.drain(maxDrainBytes)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.ended = true
-			close(c.left)
-		}
-	}()
-}
-
-// drain reads so many bytes and forgets them, or returns the error that ended that.
-func (c *clientConn) drain(most int) error {
-	var piece [1 << 10]byte
-	for most > 0 {
-		n, err := c.Conn.Read(piece[:])
-		if err != nil {
-			return err
-		}
-		most -= n
-	}
-	return nil
-}
-
-// hasLeft says that the client has ended its side, as far as that can be seen: behind
-// bytes that were not read yet it can't.
-func (c *clientConn) hasLeft() bool {
-	c.mu.Lock()
-	known := c.ended
-	c.mu.Unlock()
-	return known || peek(c.Conn) == ended
-}
-
-// boundBuffer bounds what the system takes of an answer before the client does, so
-// that a write tells in time whether the client still reads.
-func (c *clientConn) boundBuffer(size int) {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.SetWriteBuffer(size)
-	}
-}
-
-// cut has the connection end in a reset, so that what it carried is not taken for
-// whole where only its end would tell.
-func (c *clientConn) cut() {
-	c.mu.Lock()
-	c.resets = true
-	c.mu.Unlock()
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-}
-
-// leave ends the counting of a connection. It holds owner.mu.
-func (c *clientConn) leave() {
-	if c.gone {
-		return
-	}
-	c.gone = true
-	c.owner.open--
-	if c.asked {
-		c.owner.asked--
-	}
-	if c.place != nil {
-		c.owner.waiting.Remove(c.place)
-		c.place = nil
-	}
-	if c.drained != nil {
-		c.owner.closing.Remove(c.drained)
-		c.drained = nil
-	}
-}
-
-// Close is the one way in which a client's connection ends, but for one that gives way.
-// Closed over something unread the connection would be reset, and an answer that the client
-// has not read yet would go with it: the sidecar ends its side, reads on until the client has
-// ended its own, for a while, and closes then. Nothing that it reads there is a request.
-func (c *clientConn) Close() error {
-	c.mu.Lock()
-	again, now := c.closed, c.resets || c.ended || c.evicted
-	c.closed = true
-	c.mu.Unlock()
-	if again {
-		return nil
-	}
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if now || !ok || half.CloseWrite() != nil || !c.owner.drainLater(c) {
-		return c.finish()
-	}
-	go func() {
-		c.Conn.SetReadDeadline(time.Now().Add(closeDrain))
-		c.drain(maxDrainBytes)
-		c.finish()
-	}()
-	return nil
-}
-
-// finish ends the counting of a connection and gives its descriptor back.
-func (c *clientConn) finish() error {
-	c.owner.mu.Lock()
-	c.leave()
-	c.owner.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // drainLater marks that a connection is half-closed, unless it is closed already.
 func (l *clients) drainLater(c *clientConn) bool {
 	l.mu.Lock()
@@ -374,127 +168,3 @@
 	c.drained = l.closing.PushBack(c)
 	return true
 }
-
-func (c *clientConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.spared() {
-			continue
-		}
-		c.mu.Lock()
-		if c.evicted || c.closed {
-			n, err = 0, net.ErrClosed
-		}
-		if c.begun.IsZero() {
-			c.begun = time.Now()
-		}
-		c.head.scan(p[:n])
-		if n > 0 && c.expired { // it came in the very instant
-			c.expired = false
-			c.Conn.SetReadDeadline(c.readBy)
-		}
-		if n > 0 && c.inHand {
-			c.readBehind()
-		}
-		c.ended = c.ended || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-		c.mu.Unlock()
-		if n > 0 {
-			c.owner.heard(c)
-		}
-		return n, err
-	}
-}
-
-// begin marks that a request is open; false says that its connection is closed already.
-func (c *clientConn) begin() bool {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	if c.gone || c.place == nil {
-		return false
-	}
-	c.owner.waiting.Remove(c.place)
-	c.place = nil
-	if !c.asked {
-		c.asked = true
-		c.owner.asked++
-	}
-	return true
-}
-
-// alone says that nothing came behind a request, whose body has this length (-1:
-// unknown) and has been read. What is read from here on belongs to the next.
-func (c *clientConn) alone(length int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	alone := length >= 0 && c.head.size == c.head.end+length
-	c.head, c.begun = headScan{}, time.Time{}
-	return alone
-}
-
-// done marks that the request has its whole answer.
-func (c *clientConn) done() {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	if !c.gone && c.place == nil && c.drained == nil {
-		c.since = time.Now()
-		c.place = c.owner.waiting.PushBack(c)
-	}
-}
-
-// ambiguous says whether the request's head states its body's length in two ways.
-func (c *clientConn) ambiguous() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head.lengths > 1 || c.head.lengths > 0 && c.head.coding
-}
-
-// headScan looks at the bytes of a message for what net/http hides: where a head
-// has both Content-Length and Transfer-Encoding, the former is dropped without a
-// word, and what one reader takes for the body another takes for a request.
-type headScan struct {
-	line    []byte // start of the current line
-	started bool   // a line with something on it has come
-	lengths int    // Content-Length was there so often
-	coding  bool   // Transfer-Encoding was there
-	closing bool   // Connection: close was there
-	size    int64  // of all that came
-	end     int64  // size at the end of the head; 0 before
-}
-
-var (
-	lengthName = []byte("content-length:")
-	codingName = []byte("transfer-encoding:")
-	endName    = []byte("connection:")
-)
-
-// lineKept is as much of a line as is looked at.
-const lineKept = 64
-
-func (h *headScan) scan(p []byte) {
-	start := h.size
-	h.size += int64(len(p))
-	for rest := p; h.end == 0 && len(rest) > 0; {
-		line, after, ended := bytes.Cut(rest, []byte("\n"))
-		if room := lineKept - len(h.line); room > 0 {
-			h.line = append(h.line, line[:min(room, len(line))]...)
-		}
-		if rest = after; !ended {
-			return
-		}
-		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
-		if bytes.HasPrefix(lower, lengthName) {
-			h.lengths++
-		}
-		h.coding = h.coding || bytes.HasPrefix(lower, codingName)
-		if value, ok := bytes.CutPrefix(lower, endName); ok {
-			h.closing = h.closing || bytes.Contains(value, []byte("close"))
-		}
-		// net/http skips empty lines ahead of a request.
-		if len(lower) > 0 {
-			h.started = true
-		} else if h.started {
-			h.end = start + int64(len(p)-len(rest))
-		}
-		h.line = h.line[:0]
-	}
-}
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -344,7 +344,7 @@
 	}
 	second := dial()
 	defer second.Close()
-	if got, err := io.ReadAll(second); err != nil || string(got) != atDoorAnswer {
+	if got, err := io.ReadAll(second); err != nil || string(got) != rejection {
 		t.Errorf("the second connection: %q, %v; want 503 and its end", got, err)
 	}
 	c.done()
--- a/internal/sidecar/close_test.go
+++ b/internal/sidecar/close_test.go
@@ -124,7 +124,7 @@
 		ended <- string(got)
 	}()
 	go d.Accept()
-	if got := <-ended; got != atDoorAnswer {
+	if got := <-ended; got != rejection {
 		t.Errorf("one more read %q", got)
 	}
 	if n := d.count(); n > d.most+maxRejected {
