Sidecar: the host is explicit, so that many can share a process

Cause: a sidecar set the memory limit of its whole process and kept files in its temporary folder, and left idle connections to the end of the process. Change: Config.Host names what it may use of its process; LoadConfig gives it all, ParseConfig nothing. Idle connections end with Run. A list that was heard of is logged at debug level, which the program does not write.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"time"
 
 	"peatpost/balancer"
@@ -47,7 +46,7 @@
 
 func newAdmin(s *server) *admin {
 	cfg := s.loop.cfg
-	a := &admin{server: s, store: &store{dir: os.TempDir(), sidecar: cfg.Name, log: s.loop.log,
+	a := &admin{server: s, store: &store{dir: cfg.Host.Directory, sidecar: cfg.Name, log: s.loop.log,
 		keep: time.Duration(cfg.Settings.Contract.RampTime) * time.Microsecond, hold: s.hold}}
 	a.calls = map[string]call{
 		"/admin/health":   {http.MethodGet, a.health},
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -29,6 +29,7 @@
 	Seed      uint64
 	Limits    Limits
 	Settings  balancer.Settings
+	Host      Host
 
 	known  registry
 	zones  []string // names, by the numbers that the balancer uses
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := parseConfig(data)
+	cfg, err := ParseConfig(data)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -71,6 +72,7 @@
 		return nil, err
 	}
 	cfg.Passed = os.Getenv(passedVar)
+	cfg.Host = ownProcess()
 	return cfg, nil
 }
 
@@ -82,6 +84,12 @@
 	return nil
 }
 
+// ParseConfig reads the text of a configuration. The environment adds nothing to it, and its
+// Host is the zero one.
+func ParseConfig(data []byte) (*Config, error) {
+	return parseConfig(data)
+}
+
 func parseConfig(data []byte) (*Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"syscall"
 	"time"
 )
@@ -106,5 +105,7 @@
 	s.clients.limit(most, cfg.Limits.Sockets/crowdPart/n)
 	s.loop.up.limit(most)
 	s.loop.up.room.most.Store(int64(cfg.Limits.MemoryMB) << 20 / bodiesPart / int64(n))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * heapPart / int64(n))
+	if limit := cfg.Host.LimitMemory; limit != nil {
+		limit(int64(cfg.Limits.MemoryMB) << 20 / 10 * heapPart / int64(n))
+	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -537,6 +537,7 @@
 	}
 	l.unheard, l.heard = false, now
 	l.calls.answered++
+	l.log.Debug("list heard", "seq", list.Seq, "whole", list.Whole, "hosts", len(list.Hosts))
 	l.calls.lost += uint64(list.lost)
 	kind := balancer.ListDelta
 	if list.Whole {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -85,13 +85,13 @@
 		}
 	}()
 	if cfg.Passed != "" { // another process may take over
-		m := newMemory(loopCtx, cfg.Name, os.TempDir(), log)
+		m := newMemory(loopCtx, cfg.Name, cfg.Host.Directory, log)
 		l.learned, l.keep = m.load(), m.keep
 	}
 	s := newServer(l)
 	s.share(1)
 	if cfg.Passed != "" {
-		if s.seat, err = takeSeat(os.TempDir()); err != nil {
+		if s.seat, err = takeSeat(cfg.Host.Directory); err != nil {
 			log.Warn("other processes of this sidecar are not seen", "error", err)
 		} else {
 			go s.company(loopCtx, log)
@@ -102,6 +102,7 @@
 		a.load()
 		go a.serve(second)
 	}
+	defer l.up.limit(0) // the process may live on: idle connections end with the sidecar
 	return s.serve(ctx, listener)
 }
 
