--- /dev/null
+++ b/cmd/emulator/commands.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"peatpost/internal/emulator/play"
+	"peatpost/internal/emulator/result"
+	"peatpost/internal/emulator/spec"
+	"peatpost/internal/emulator/worker"
+)
+
+const (
+	defaultFile      = "deploy/emulator.toml"
+	sidecarProgram   = "pinedale"
+	workerCommand    = "worker"
+	defaultSidecars  = 54
+	defaultReal      = 8
+	defaultSeed      = 1
+	unknownCommit    = "unknown"
+	uncommittedShort = "+"
+)
+
+// rootCommand is the command line.
+type rootCommand struct {
+	*cobra.Command
+	began bool // the arguments were understood
+}
+
+func newRootCommand() *rootCommand {
+	root := &rootCommand{Command: &cobra.Command{
+		Use:           "emulator",
+		Short:         "Plays a fleet of sidecars and endpoints on this machine and reports what each role spends",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}}
+	root.PersistentPreRun = func(*cobra.Command, []string) { root.began = true }
+	root.AddCommand(newRunCommand(), newSweepCommand(), newReportCommand(), newListCommand(), newWorkerCommand())
+	return root
+}
+
+// common are the flags of commands that play.
+type common struct {
+	file     string
+	scenario string
+	sidecar  string
+	out      string
+	commit   string
+	seed     uint64
+}
+
+func (c *common) register(command *cobra.Command) {
+	flags := command.Flags()
+	flags.StringVar(&c.file, "file", defaultFile, "scenario file")
+	flags.StringVar(&c.scenario, "scenario", "steady", "name of the scenario")
+	flags.StringVar(&c.sidecar, "sidecar", "", "program of a real sidecar (default: "+sidecarProgram+" beside this program)")
+	flags.StringVar(&c.out, "out", "", "result file that runs are added to, as JSON lines")
+	flags.StringVar(&c.commit, "commit", "", "commit that the results name (default: that of the work tree)")
+	flags.Uint64Var(&c.seed, "seed", defaultSeed, "seed of all random choices")
+}
+
+// options reads the scenario file and finds the programs.
+func (c *common) options() (play.Options, error) {
+	file, err := spec.Read(c.file)
+	if err != nil {
+		return play.Options{}, err
+	}
+	scenario, err := file.Scenario(c.scenario)
+	if err != nil {
+		return play.Options{}, err
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return play.Options{}, err
+	}
+	program := c.sidecar
+	if program == "" {
+		program = filepath.Join(filepath.Dir(own), sidecarProgram)
+	}
+	commit := c.commit
+	if commit == "" {
+		commit = workTreeCommit()
+	}
+	return play.Options{
+		File:     file,
+		Name:     c.scenario,
+		Scenario: scenario,
+		Seed:     c.seed,
+		Commit:   commit,
+		Emulator: play.Program{Path: own, Arguments: []string{workerCommand}},
+		Sidecar:  play.Program{Path: program},
+		Progress: os.Stderr,
+	}, nil
+}
+
+// workTreeCommit returns the commit of the work tree, with a mark where that has changed.
+func workTreeCommit() string {
+	head, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		return unknownCommit
+	}
+	commit := strings.TrimSpace(string(head))
+	if changes, err := exec.Command("git", "status", "--porcelain", "--untracked-files=no").Output(); err != nil || len(changes) > 0 {
+		commit += uncommittedShort
+	}
+	return commit
+}
+
+func newRunCommand() *cobra.Command {
+	var c common
+	var size spec.Size
+	command := &cobra.Command{
+		Use:   "run",
+		Short: "Play a scenario once",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options, err := c.options()
+			if err != nil {
+				return err
+			}
+			if size.Endpoints == 0 {
+				size.Endpoints = size.Sidecars
+			}
+			options.Size, options.Play = size, 1
+			run, err := play.Run(command.Context(), options)
+			return errorsAfter(err, c.keep(run))
+		},
+	}
+	c.register(command)
+	flags := command.Flags()
+	flags.IntVar(&size.Sidecars, "sidecars", defaultSidecars, "number of sidecars, real ones included")
+	flags.IntVar(&size.Endpoints, "endpoints", 0, "number of endpoints (default: as many as sidecars)")
+	flags.IntVar(&size.Real, "real", defaultReal, "number of sidecars with a process of their own")
+	return command
+}
+
+// errorsAfter returns the first error, or the second where there is none.
+func errorsAfter(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+// keep prints a run and adds it to the result file.
+func (c *common) keep(run *result.Run) error {
+	if run == nil {
+		return nil
+	}
+	if err := result.WriteSummary(os.Stdout, run); err != nil {
+		return err
+	}
+	if c.out == "" {
+		return nil
+	}
+	return result.Append(c.out, run)
+}
+
+func newListCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "list",
+		Short: "List the scenarios",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			file, err := spec.Read(path)
+			if err != nil {
+				return err
+			}
+			table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+			for _, name := range file.Names() {
+				fmt.Fprintf(table, "%s\t%s\n", name, file.Scenarios[name].Description)
+			}
+			return table.Flush()
+		},
+	}
+	command.Flags().StringVar(&path, "file", defaultFile, "scenario file")
+	return command
+}
+
+// newWorkerCommand is how the emulator starts its workers.
+func newWorkerCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    workerCommand + " ROLE",
+		Hidden: true,
+		Args:   cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return worker.Run(command.Context(), worker.Role(arguments[0]), os.Stdin, os.Stdout)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/emulator/main.go
@@ -0,0 +1,51 @@
+// Command emulator plays a fleet of sidecars and endpoints on this machine's loopback
+// and reports what each role spends.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"peatpost/internal/emulator/spec"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitBadInput = 2
+)
+
+// errInterrupted is the reason of a run that a signal has ended.
+var errInterrupted = errors.New("interrupted")
+
+func main() {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		cancel(errInterrupted)
+	}()
+	os.Exit(execute(ctx, os.Args[1:]))
+}
+
+// execute carries the command line out and returns the exit code.
+func execute(ctx context.Context, arguments []string) int {
+	command := newRootCommand()
+	command.SetArgs(arguments)
+	err := command.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "emulator:", strings.ReplaceAll(err.Error(), "\n", "; "))
+	var bad *spec.InputError
+	if errors.As(err, &bad) || !command.began {
+		return exitBadInput
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/internal/emulator/control/control_test.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+)
+
+const (
+	kindDouble Kind = "double"
+	kindFail   Kind = "fail"
+	kindWait   Kind = "wait"
+)
+
+// startWorker serves in this process; hangUp ends its input.
+func startWorker(t *testing.T) (client *Client, hangUp func()) {
+	t.Helper()
+	requests, toWorker := io.Pipe()
+	responses, fromWorker := io.Pipe()
+	handlers := Handlers{
+		kindDouble: Handle(func(_ context.Context, n int) (int, error) { return 2 * n, nil }),
+		kindFail:   Handle(func(context.Context, Empty) (Empty, error) { return Empty{}, errors.New("no luck") }),
+		kindWait: Handle(func(ctx context.Context, _ Empty) (Empty, error) {
+			<-ctx.Done()
+			return Empty{}, ctx.Err()
+		}),
+	}
+	go func() {
+		if err := Serve(context.Background(), requests, fromWorker, handlers); err != nil {
+			t.Error(err)
+		}
+		fromWorker.Close()
+	}()
+	t.Cleanup(func() { toWorker.Close() })
+	return NewClient(responses, toWorker), func() { toWorker.Close() }
+}
+
+func TestCallsAreAnsweredWhileOthersWait(t *testing.T) {
+	client, hangUp := startWorker(t)
+	waited := make(chan error, 1)
+	go func() { waited <- client.Call(t.Context(), kindWait, Empty{}, nil) }()
+	var doubled int
+	if err := client.Call(t.Context(), kindDouble, 21, &doubled); err != nil || doubled != 42 {
+		t.Errorf("got %d, %v", doubled, err)
+	}
+	var remote *RemoteError
+	if err := client.Call(t.Context(), kindFail, Empty{}, nil); !errors.As(err, &remote) || remote.Message != "no luck" {
+		t.Errorf("got %v, want the worker's error", err)
+	}
+	if err := client.Call(t.Context(), "other", Empty{}, nil); !errors.As(err, &remote) {
+		t.Errorf("an unknown request: %v", err)
+	}
+	hangUp()
+	if err := <-waited; err == nil {
+		t.Error("a call went well whose worker was ended")
+	}
+}
+
+func TestCallToAWorkerThatEndedFails(t *testing.T) {
+	client, hangUp := startWorker(t)
+	hangUp()
+	for { // the end is seen a little later
+		if err := client.Call(t.Context(), kindDouble, 1, nil); errors.Is(err, ErrClosed) || errors.Is(err, io.ErrClosedPipe) {
+			return
+		}
+	}
+}
--- a/internal/emulator/endpoint/config.go
+++ b/internal/emulator/endpoint/config.go
@@ -2,8 +2,10 @@
 
 import "time"
 
-// minShare bounds how slow a cold endpoint is.
-const minShare = 0.01
+const (
+	minShare         = 0.01 // bounds how slow a cold endpoint is
+	defaultLoadField = "inflight"
+)
 
 // Config describes an endpoint.
 type Config struct {
@@ -17,6 +19,7 @@
 	ServiceTime time.Duration // of each request on a core
 	QueueLimit  int           // requests that wait for a core; any more are turned away
 	ReportLoad  bool          // answers and /stats tell the load
+	LoadField   string        // what the load report calls the requests in flight; empty: inflight
 
 	// From its start an endpoint that is cold has ColdShare of its capacity, which
 	// grows linearly to all of it over WarmUp. 0: always warm.
@@ -29,6 +32,9 @@
 // withDefaults fills in what has to have a value.
 func (c Config) withDefaults() Config {
 	c.Cores = max(1, c.Cores)
+	if c.LoadField == "" {
+		c.LoadField = defaultLoadField
+	}
 	c.ColdShare = min(1, max(minShare, c.ColdShare))
 	return c
 }
--- a/internal/emulator/endpoint/serve.go
+++ b/internal/emulator/endpoint/serve.go
@@ -120,7 +120,7 @@
 // load is the load report.
 func (e *Endpoint) load() string {
 	work, _ := e.life()
-	return "inflight=" + strconv.Itoa(work.inFlight())
+	return e.config.LoadField + "=" + strconv.Itoa(work.inFlight())
 }
 
 // life returns the state of the current life of the process.
--- /dev/null
+++ b/internal/emulator/play/guard.go
@@ -0,0 +1,58 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"peatpost/internal/emulator/process"
+)
+
+const (
+	guardEvery    = 500 * time.Millisecond
+	progressEvery = 2 * time.Second
+)
+
+// guard watches the run's memory and reports progress, until ctx ends.
+func (r *runner) guard(ctx context.Context) {
+	tick := time.NewTicker(guardEvery)
+	defer tick.Stop()
+	began, told := time.Now(), time.Now()
+	cpu, _ := process.ReadMachineCPU() // without it, the progress line tells less
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		residentKB := r.residentKB()
+		r.peakKB.Store(max(r.peakKB.Load(), residentKB))
+		if residentKB > int64(r.spec().Limits.MemoryMB)*kbPerMB {
+			r.cancel(errMemory)
+			return
+		}
+		if time.Since(told) >= progressEvery {
+			now, _ := process.ReadMachineCPU()
+			r.report(time.Since(began), residentKB, now.Share(cpu))
+			told, cpu = time.Now(), now
+		}
+	}
+}
+
+// residentKB is the memory that the emulator and its children hold.
+func (r *runner) residentKB() int64 {
+	own, _ := process.ResidentKB(os.Getpid()) // without it, the children count alone
+	return own + r.group.ResidentKB()
+}
+
+// report writes a line on how the run goes.
+func (r *runner) report(since time.Duration, residentKB int64, busy float64) {
+	if r.options.Progress == nil {
+		return
+	}
+	size := r.options.Size
+	fmt.Fprintf(r.options.Progress, "%s %d sidecars (%d real), %d endpoints, play %d: %3.0f s, %s; %d processes, %d MB, machine %.0f%% busy\n",
+		r.options.Name, size.Sidecars, size.Real, size.Endpoints, r.options.Play, since.Seconds(), *r.phase.Load(),
+		len(r.group.Children()), residentKB/kbPerMB, busy*100)
+}
--- /dev/null
+++ b/internal/emulator/play/measure.go
@@ -0,0 +1,301 @@
+package play
+
+import (
+	"context"
+	"errors"
+	"math"
+	"os"
+	"time"
+
+	"peatpost/internal/emulator/control"
+	"peatpost/internal/emulator/endpoint"
+	"peatpost/internal/emulator/load"
+	"peatpost/internal/emulator/process"
+	"peatpost/internal/emulator/registry"
+	"peatpost/internal/emulator/result"
+	"peatpost/internal/emulator/spec"
+	"peatpost/internal/emulator/worker"
+)
+
+// roleTotals are a role's figures since the start.
+type roleTotals struct {
+	role      result.Role
+	usage     process.Usage
+	processes int
+	units     int
+}
+
+// snapshot is what everything has counted by an instant.
+type snapshot struct {
+	at        time.Time
+	machine   process.MachineCPU
+	roles     []roleTotals
+	discovery registry.Counts
+	endpoints endpoint.Counts
+	hollow    worker.SidecarCounts
+}
+
+// takeSnapshot reads all figures.
+func (r *runner) takeSnapshot(ctx context.Context) (*snapshot, error) {
+	var s snapshot
+	var err error
+	if err := r.registry.Call(ctx, worker.CountRegistry, control.Empty{}, &s.discovery); err != nil {
+		return nil, err
+	}
+	if s.endpoints, err = r.countEndpoints(ctx); err != nil {
+		return nil, err
+	}
+	if s.hollow, err = r.countHollow(ctx); err != nil {
+		return nil, err
+	}
+	if s.roles, err = r.readRoles(); err != nil {
+		return nil, err
+	}
+	s.machine, err = process.ReadMachineCPU()
+	s.at = time.Now()
+	return &s, err
+}
+
+func (r *runner) countEndpoints(ctx context.Context) (endpoint.Counts, error) {
+	counts, err := callAll[control.Empty, endpoint.Counts](ctx, r.zones, worker.CountEndpoints, control.Empty{})
+	var sum endpoint.Counts
+	for _, some := range counts {
+		worker.AddEndpointCounts(&sum, some)
+	}
+	return sum, err
+}
+
+func (r *runner) countHollow(ctx context.Context) (worker.SidecarCounts, error) {
+	counts, err := callAll[control.Empty, worker.SidecarCounts](ctx, r.hosts, worker.CountSidecars, control.Empty{})
+	var sum worker.SidecarCounts
+	for _, some := range counts {
+		sum.Add(some)
+	}
+	return sum, err
+}
+
+// readRoles reads what the processes of each role have spent.
+func (r *runner) readRoles() ([]roleTotals, error) {
+	byRole := []struct {
+		role    result.Role
+		workers []*workerProcess
+		units   int
+	}{
+		{result.HollowSidecar, r.hosts, r.hollowCount()},
+		{result.Endpoint, r.zones, len(r.layout.Endpoints)},
+		{result.Discovery, []*workerProcess{r.registry}, 1},
+		{result.Generator, r.generators, 1},
+	}
+	var all []roleTotals
+	for _, group := range byRole {
+		totals := roleTotals{role: group.role, units: group.units}
+		for _, w := range group.workers {
+			if err := totals.read(w.child.PID()); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, totals)
+	}
+	real, err := r.readReal()
+	if err != nil {
+		return nil, err
+	}
+	own := roleTotals{role: result.Configuration, units: 1}
+	if err := own.read(os.Getpid()); err != nil {
+		return nil, err
+	}
+	return append(all, real, own), nil
+}
+
+// readReal reads what the real sidecars have spent, those of earlier processes included.
+func (r *runner) readReal() (roleTotals, error) {
+	totals := roleTotals{role: result.RealSidecar, units: len(r.real)}
+	for _, s := range r.real {
+		totals.usage.Add(s.past)
+		if s.child == nil {
+			continue
+		}
+		if err := totals.read(s.child.PID()); err != nil {
+			return totals, err
+		}
+	}
+	return totals, nil
+}
+
+func (t *roleTotals) read(pid int) error {
+	usage, err := process.ReadUsage(pid)
+	if err != nil {
+		return err
+	}
+	t.usage.Add(usage)
+	t.processes++
+	return nil
+}
+
+// since returns what a role spent since an earlier reading.
+func (t roleTotals) since(earlier roleTotals) result.RoleUsage {
+	return result.RoleUsage{
+		Role:        t.role,
+		Processes:   t.processes,
+		Units:       t.units,
+		CPUSeconds:  (t.usage.CPU - earlier.usage.CPU).Seconds(),
+		ResidentMB:  float64(t.usage.ResidentKB) / kbPerMB,
+		PeakMB:      float64(t.usage.PeakKB) / kbPerMB,
+		Descriptors: t.usage.Descriptors,
+		ReadBytes:   t.usage.ReadBytes - earlier.usage.ReadBytes,
+		WriteBytes:  t.usage.WriteBytes - earlier.usage.WriteBytes,
+	}
+}
+
+// action is what happens in a phase beside the load.
+type action func(ctx context.Context, phase *result.Phase) error
+
+// measure plays a phase: for a time, and until its action is done, if it has one.
+func (r *runner) measure(ctx context.Context, name string, length time.Duration, loaded bool, do action) error {
+	r.enter(name)
+	phase := result.Phase{Name: name}
+	before, err := r.takeSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	sending := r.startLoad(ctx, loaded)
+	err = r.carryOut(ctx, &phase, length, do)
+	reports, loadErr := r.stopLoad(ctx, sending)
+	if err := errors.Join(err, loadErr); err != nil {
+		return err
+	}
+	after, err := r.takeSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	phase.Through, phase.Direct = result.NewRequests(reports.Through), result.NewRequests(reports.Direct)
+	after.since(before, &phase)
+	r.run.Phases = append(r.run.Phases, phase)
+	return nil
+}
+
+// carryOut does an action, and waits until the phase has had its time.
+func (r *runner) carryOut(ctx context.Context, phase *result.Phase, length time.Duration, do action) error {
+	ends := time.Now().Add(length)
+	if do != nil {
+		if err := do(ctx, phase); err != nil {
+			return err
+		}
+	}
+	return pause(ctx, time.Until(ends))
+}
+
+// since fills in what a phase has counted.
+func (s *snapshot) since(earlier *snapshot, phase *result.Phase) {
+	phase.Seconds = s.at.Sub(earlier.at).Seconds()
+	phase.MachineCPUShare = s.machine.Share(earlier.machine)
+	for i, totals := range s.roles {
+		phase.Roles = append(phase.Roles, totals.since(earlier.roles[i]))
+	}
+	phase.Discovery = result.DiscoverySince(s.discovery, earlier.discovery)
+	phase.Endpoints = result.EndpointsSince(s.endpoints, earlier.endpoints)
+	phase.Hollow = result.HollowSince(s.hollow, earlier.hollow)
+}
+
+// sentLoad is what came of the load of a phase.
+type sentLoad struct {
+	reports worker.LoadReports
+	err     error
+}
+
+// startLoad begins to send requests through the real sidecars and straight to endpoints.
+// It returns nil for a phase without load.
+func (r *runner) startLoad(ctx context.Context, loaded bool) <-chan sentLoad {
+	plans := worker.LoadPlans{Through: r.through(), Direct: r.direct()}
+	if !loaded || len(plans.Through.Targets) == 0 {
+		return nil
+	}
+	done := make(chan sentLoad, 1)
+	go func() {
+		var sent sentLoad
+		sent.err = r.generators[0].Call(ctx, worker.SendLoad, plans, &sent.reports)
+		done <- sent
+	}()
+	return done
+}
+
+// stopLoad ends the load of a phase and returns what came of it.
+func (r *runner) stopLoad(ctx context.Context, sending <-chan sentLoad) (worker.LoadReports, error) {
+	if sending == nil {
+		return worker.LoadReports{}, nil
+	}
+	if err := r.generators[0].Call(ctx, worker.StopLoad, control.Empty{}, nil); err != nil {
+		return worker.LoadReports{}, err
+	}
+	sent := <-sending
+	for _, report := range []*load.Report{sent.reports.Through, sent.reports.Direct} {
+		if report != nil {
+			r.requests += int(report.Counts.Planned)
+		}
+	}
+	return sent.reports, sent.err
+}
+
+// through is the load on the real sidecars.
+func (r *runner) through() load.Plan {
+	var targets []string
+	for _, s := range r.real {
+		if !r.spared[s.Name] {
+			targets = append(targets, s.listen)
+		}
+	}
+	return r.plan(targets, r.spec().Load.CallsPerSecond*float64(len(targets)), false)
+}
+
+// direct is the load straight to endpoints, for comparison.
+func (r *runner) direct() load.Plan {
+	rate := r.spec().Load.DirectCallsPerSecond
+	if rate <= 0 {
+		return load.Plan{}
+	}
+	return r.plan(r.addresses(), rate, true)
+}
+
+func (r *runner) plan(targets []string, rate float64, direct bool) load.Plan {
+	plan := load.Plan{
+		Targets:     targets,
+		Rate:        rate,
+		Duration:    r.spec().Limits.Duration.Std(),
+		MaxRequests: r.budget(rate),
+		MaxInFlight: r.spec().Load.MaxInFlight,
+		Seed:        r.loadSeed(direct),
+		Tenants:     r.configurations.Tenants(),
+		Direct:      direct,
+	}
+	for _, class := range r.spec().Load.Classes {
+		plan.Classes = append(plan.Classes, loadClass(class))
+	}
+	return plan
+}
+
+// loadSeed is a seed that no other plan of the run has: requests must not share their ids.
+func (r *runner) loadSeed(direct bool) uint64 {
+	const maxPlans = 16
+	plan := uint64(2 * len(r.run.Phases))
+	if direct {
+		plan++
+	}
+	return r.options.Seed*maxPlans + plan
+}
+
+func loadClass(class spec.Class) load.Class {
+	next := load.Class{Name: class.Name, GiveUp: class.GiveUp.Std(), Share: class.Share}
+	if class.Repeat != spec.RepeatPure {
+		next.Method = "POST"
+	}
+	next.Keyed = class.Repeat == spec.RepeatToken
+	return next
+}
+
+// budget is a plan's part of the requests that are left, by its rate.
+func (r *runner) budget(rate float64) int {
+	loads := r.spec().Load
+	whole := loads.CallsPerSecond*float64(len(r.real)) + loads.DirectCallsPerSecond
+	left := float64(r.spec().Limits.Requests - r.requests)
+	return max(1, int(math.Floor(left*rate/whole)))
+}
--- /dev/null
+++ b/internal/emulator/play/real.go
@@ -0,0 +1,114 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"peatpost/internal/emulator/fleet"
+	"peatpost/internal/emulator/process"
+	"peatpost/internal/emulator/sidecarlog"
+)
+
+const (
+	readyPath      = "/health/ready"
+	readyPoll      = 20 * time.Millisecond
+	configVariable = "BALANCER_CONFIG"
+
+	// Real sidecars listen on 127.32.x.y, so that each has an address of its own and no
+	// connection of others takes the port.
+	realOctet     = 32
+	hostsPerOctet = 250
+)
+
+// realSidecar is a sidecar in a process of its own.
+type realSidecar struct {
+	fleet.Sidecar
+	listen  string
+	path    string // of its configuration file
+	events  *sidecarlog.Events
+	child   *process.Child
+	started time.Time
+	past    process.Usage // of earlier processes
+}
+
+// reserveAddress asks the system for a free port of a real sidecar's own address.
+func reserveAddress(number int) (string, error) {
+	host := fmt.Sprintf("127.%d.%d.%d:0", realOctet, number/hostsPerOctet, 1+number%hostsPerOctet)
+	listener, err := net.Listen("tcp", host)
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// startReal starts a real sidecar's process.
+func (r *runner) startReal(s *realSidecar) error {
+	s.events = sidecarlog.New()
+	s.started = time.Now()
+	program := r.options.Sidecar
+	child, err := r.group.Start(process.Program{
+		Name:        s.Name,
+		Path:        program.Path,
+		Arguments:   program.Arguments,
+		Environment: append([]string{configVariable + "=" + s.path}, program.Environment...),
+		Errors:      sidecarlog.NewWriter(s.events),
+	})
+	if err != nil {
+		return err
+	}
+	s.child = child
+	r.watch(child)
+	return nil
+}
+
+// killReal ends a real sidecar's process at once, as the loss of its machine does.
+func (r *runner) killReal(s *realSidecar) error {
+	usage, err := process.ReadUsage(s.child.PID())
+	if err != nil {
+		return err
+	}
+	r.expectEnd(s.child)
+	if err := s.child.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	usage.CPU = s.child.CPU()
+	s.past.Add(process.Usage{CPU: usage.CPU, ReadBytes: usage.ReadBytes, WriteBytes: usage.WriteBytes})
+	s.child = nil
+	return nil
+}
+
+// awaitReal waits until a real sidecar is ready, and returns how long that took from
+// its start.
+func (s *realSidecar) awaitReady(ctx context.Context) (time.Duration, error) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		if isReady(ctx, &client, s.listen) {
+			return time.Since(s.started), nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return 0, fmt.Errorf("%s is not ready: %w", s.Name, context.Cause(ctx))
+		}
+	}
+}
+
+func isReady(ctx context.Context, client *http.Client, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+readyPath, nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/emulator/play/replace.go
@@ -0,0 +1,177 @@
+package play
+
+import (
+	"context"
+	"time"
+
+	"peatpost/internal/emulator/fleet"
+	"peatpost/internal/emulator/registry"
+	"peatpost/internal/emulator/result"
+	"peatpost/internal/emulator/worker"
+)
+
+// heardWithin is how long a change of the list may take until it counts as missing.
+const heardWithin = 10 * time.Second
+
+// heardTimes gathers how long sidecars took to hear of changes.
+type heardTimes struct {
+	took    []time.Duration
+	missing int
+}
+
+func (h *heardTimes) spread(what string) result.Spread {
+	return result.NewSpread(what, len(h.took)+h.missing, h.took)
+}
+
+// awaitHeard waits until every hollow sidecar has heard of a version of the list.
+func (r *runner) awaitHeard(ctx context.Context, version worker.Version, times *heardTimes) error {
+	asked := worker.Await{Seq: version.Seq, Within: heardWithin}
+	heard, err := callAll[worker.Await, worker.Arrivals](ctx, r.hosts, worker.AwaitHeard, asked)
+	if err != nil {
+		return err
+	}
+	for _, some := range heard {
+		times.missing += len(some.Missing)
+		for _, arrival := range some.Arrived {
+			// One that started later read it with its first list.
+			if arrival.Started.Before(version.At) {
+				times.took = append(times.took, arrival.At.Sub(version.At))
+			}
+		}
+	}
+	return nil
+}
+
+// replacement is an endpoint that restarts, with the hollow sidecar of its application.
+type replacement struct {
+	endpoint fleet.Endpoint
+	sidecar  fleet.Sidecar
+	host     int // of the sidecar
+}
+
+// playReplace restarts endpoints and their sidecars one after the other.
+func playReplace(ctx context.Context, r *runner) error {
+	chosen := r.chooseReplacements(r.options.Scenario.Events)
+	for _, c := range chosen {
+		r.spared[c.endpoint.Name] = true
+	}
+	if err := r.measureLoaded(ctx); err != nil {
+		return err
+	}
+	return r.measure(ctx, "replace", 0, true, func(ctx context.Context, phase *result.Phase) error {
+		return r.replaceAll(ctx, phase, chosen)
+	})
+}
+
+// chooseReplacements picks hollow sidecars, spread evenly over the fleet, that have an endpoint.
+func (r *runner) chooseReplacements(count int) []replacement {
+	var all []replacement
+	for host, some := range r.hollow {
+		for _, s := range some {
+			if s.Position < len(r.layout.Endpoints) {
+				all = append(all, replacement{r.layout.Endpoints[s.Position], s, host})
+			}
+		}
+	}
+	count = min(count, len(all))
+	chosen := make([]replacement, count)
+	for i := range chosen {
+		chosen[i] = all[i*len(all)/count]
+	}
+	return chosen
+}
+
+// replaced is what came of one replacement.
+type replaced struct {
+	drained, ready heardTimes
+	started        result.Spread
+	err            error
+}
+
+// replaceAll plays replacements at the scenario's pace; they overlap where the drain
+// takes longer than that.
+func (r *runner) replaceAll(ctx context.Context, phase *result.Phase, chosen []replacement) error {
+	results := make(chan replaced, len(chosen))
+	next := time.Now()
+	started := 0
+	for _, c := range chosen {
+		if err := pause(ctx, time.Until(next)); err != nil {
+			break
+		}
+		next = next.Add(r.options.Scenario.Interval())
+		started++
+		go func() { results <- r.replace(ctx, c) }()
+	}
+	var drained, ready heardTimes
+	var restarts []time.Duration
+	var failure error
+	for range started {
+		one := <-results
+		if one.err != nil {
+			failure = one.err
+			continue
+		}
+		drained.add(one.drained)
+		ready.add(one.ready)
+		if one.started.Missing == 0 {
+			restarts = append(restarts, time.Duration(one.started.LastMS*float64(time.Millisecond)))
+		}
+	}
+	phase.Events = started
+	phase.Spreads = append(phase.Spreads,
+		drained.spread("from discovery's word of a drain to its being heard"),
+		ready.spread("from discovery's word of a start to its being heard"),
+		result.NewSpread("from a replaced sidecar's start to its being ready", started, restarts))
+	return failure
+}
+
+func (h *heardTimes) add(other heardTimes) {
+	h.took = append(h.took, other.took...)
+	h.missing += other.missing
+}
+
+// replace drains an endpoint and its sidecar and starts both anew.
+func (r *runner) replace(ctx context.Context, c replacement) (done replaced) {
+	done.err = r.drainOne(ctx, c, &done)
+	if done.err == nil {
+		done.err = r.restartOne(ctx, c, &done)
+	}
+	return done
+}
+
+// drainOne announces the end of an endpoint, and ends its sidecar.
+func (r *runner) drainOne(ctx context.Context, c replacement, done *replaced) error {
+	ends := time.Now().Add(r.options.Scenario.Drain.Std())
+	version, err := r.announce(ctx, []fleet.Endpoint{c.endpoint}, registry.Terminating)
+	if err != nil {
+		return err
+	}
+	if err := r.act(ctx, worker.Drain, []fleet.Endpoint{c.endpoint}); err != nil {
+		return err
+	}
+	names := worker.Names{Names: []string{c.sidecar.Name}}
+	if err := r.hosts[c.host].Call(ctx, worker.StopSidecars, names, nil); err != nil {
+		return err
+	}
+	if err := r.awaitHeard(ctx, version, &done.drained); err != nil {
+		return err
+	}
+	return pause(ctx, time.Until(ends))
+}
+
+// restartOne starts an endpoint and its sidecar anew, and announces it.
+func (r *runner) restartOne(ctx context.Context, c replacement, done *replaced) error {
+	if err := r.act(ctx, worker.Restart, []fleet.Endpoint{c.endpoint}); err != nil {
+		return err
+	}
+	version, err := r.announce(ctx, []fleet.Endpoint{c.endpoint}, registry.Ready)
+	if err != nil {
+		return err
+	}
+	byHost := make([][]fleet.Sidecar, len(r.hosts))
+	byHost[c.host] = []fleet.Sidecar{c.sidecar}
+	if done.started, err = r.startHollow(ctx, byHost, 0); err != nil {
+		return err
+	}
+	return r.awaitHeard(ctx, version, &done.ready)
+}
--- /dev/null
+++ b/internal/emulator/play/runner.go
@@ -0,0 +1,204 @@
+package play
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peatpost/internal/emulator/fleet"
+	"peatpost/internal/emulator/process"
+	"peatpost/internal/emulator/result"
+	"peatpost/internal/emulator/spec"
+	"peatpost/internal/emulator/worker"
+)
+
+const (
+	stopGrace      = 8 * time.Second // for children to end by themselves
+	scratchPattern = "oakproxy-emulator-*"
+)
+
+// Reasons for which a run ends early.
+var (
+	errDuration = errors.New("the run took longer than limits.duration")
+	errMemory   = errors.New("the run's processes held more than limits.memory_mb")
+)
+
+// runner plays one scenario.
+type runner struct {
+	options        Options
+	layout         *fleet.Layout
+	configurations *fleet.Configurations
+	scratch        string // holds the configuration files
+	group          *process.Group
+	run            *result.Run
+	cancel         context.CancelCauseFunc // ends the run for a reason
+
+	registry   *workerProcess
+	zones      []*workerProcess // that play the endpoints, one a zone
+	hosts      []*workerProcess // that host hollow sidecars
+	generators []*workerProcess // of load; one
+
+	hollow      [][]fleet.Sidecar // by host
+	real        []*realSidecar
+	livesMu     sync.Mutex
+	lives       map[string]worker.Life // of endpoints, by name
+	version     int                    // of the configuration
+	requests    int                    // sent so far
+	spared      map[string]bool        // names of endpoints and real sidecars that get no load, as something happens to them
+	peakKB      atomic.Int64
+	phase       atomic.Pointer[string] // what goes on, for the progress line
+	stopping    atomic.Bool
+	expectedMu  sync.Mutex
+	expectedEnd map[*process.Child]bool
+}
+
+// Run plays a scenario. Where it ends early it returns what was measured by then,
+// beside an error that tells why.
+func Run(ctx context.Context, options Options) (*result.Run, error) {
+	if err := options.Check(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, release := context.WithTimeoutCause(ctx, options.File.Limits.Duration.Std(), errDuration)
+	defer release()
+	r := newRunner(options, cancel)
+	started := time.Now()
+	err := r.playAll(ctx)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
+	if err != nil {
+		r.run.Stopped = err.Error()
+	}
+	r.run.Seconds = time.Since(started).Seconds()
+	r.run.PeakMemoryMB = float64(r.peakKB.Load()) / kbPerMB
+	return r.run, err
+}
+
+func newRunner(options Options, cancel context.CancelCauseFunc) *runner {
+	layout := fleet.New(options.File, options.Size)
+	r := &runner{
+		options:        options,
+		layout:         layout,
+		configurations: &fleet.Configurations{File: options.File, Layout: layout, Seed: options.Seed},
+		group:          process.NewGroup(),
+		cancel:         cancel,
+		lives:          map[string]worker.Life{},
+		version:        1,
+		spared:         map[string]bool{},
+		expectedEnd:    map[*process.Child]bool{},
+		run: &result.Run{
+			Version:   result.Version,
+			StartedAt: time.Now().UTC(),
+			Commit:    options.Commit,
+			Machine:   machine(),
+			Scenario:  options.Name,
+			Size:      options.Size,
+			Play:      options.Play,
+			Seed:      options.Seed,
+			File:      *options.File,
+			Played:    options.Scenario,
+		},
+	}
+	r.enter("start")
+	return r
+}
+
+// playAll starts the fleet, plays the scenario, and ends all that was started.
+func (r *runner) playAll(ctx context.Context) (err error) {
+	if r.scratch, err = os.MkdirTemp(r.options.ScratchRoot, scratchPattern); err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(r.scratch)) }()
+	defer r.stop()
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		r.guard(ctx)
+	}()
+	defer func() {
+		r.cancel(nil)
+		<-watching
+	}()
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	r.enter("settle")
+	if err := pause(ctx, r.options.Scenario.Settle.Std()); err != nil {
+		return err
+	}
+	if err := scenarios[r.options.Scenario.Kind](ctx, r); err != nil {
+		return err
+	}
+	return r.finish(ctx)
+}
+
+// finish reads the figures that are of the whole run.
+func (r *runner) finish(ctx context.Context) error {
+	r.enter("end")
+	hollow, err := r.countHollow(ctx)
+	if err != nil {
+		return err
+	}
+	r.run.End.Hollow = hollow
+	if hollow.Failed > 0 {
+		return fmt.Errorf("%d hollow sidecars failed, the first: %s", hollow.Failed, hollow.FirstFailure)
+	}
+	for _, phase := range r.run.Phases {
+		r.run.Saturated = r.run.Saturated || phase.MachineCPUShare > result.SaturatedShare
+	}
+	return nil
+}
+
+// stop ends all processes.
+func (r *runner) stop() {
+	r.enter("stop")
+	r.stopping.Store(true)
+	r.group.Stop(stopGrace)
+}
+
+// enter notes what goes on.
+func (r *runner) enter(phase string) { r.phase.Store(&phase) }
+
+// watch ends the run should a child end that ought not to.
+func (r *runner) watch(child *process.Child) {
+	go func() {
+		<-child.Ended()
+		r.expectedMu.Lock()
+		expected := r.expectedEnd[child]
+		r.expectedMu.Unlock()
+		if !expected && !r.stopping.Load() {
+			r.cancel(fmt.Errorf("%s ended by itself: %v", child.Name, child.Err()))
+		}
+	}()
+}
+
+// expectEnd notes that a child's end is part of the scenario.
+func (r *runner) expectEnd(child *process.Child) {
+	r.expectedMu.Lock()
+	defer r.expectedMu.Unlock()
+	r.expectedEnd[child] = true
+}
+
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// hollowCount is how many sidecars are hollow.
+func (r *runner) hollowCount() int { return r.options.Size.Sidecars - len(r.real) }
+
+// spec returns the scenario file.
+func (r *runner) spec() *spec.File { return r.options.File }
--- /dev/null
+++ b/internal/emulator/play/start.go
@@ -0,0 +1,282 @@
+package play
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"peatpost/internal/emulator/control"
+	"peatpost/internal/emulator/fleet"
+	"peatpost/internal/emulator/registry"
+	"peatpost/internal/emulator/result"
+	"peatpost/internal/emulator/worker"
+)
+
+const (
+	largestSize  = 860 // sidecars, for which limits.start_spread is given
+	hollowListen = "127.0.0.1:0"
+)
+
+// start brings the fleet up: discovery, endpoints, then the sidecars.
+func (r *runner) start(ctx context.Context) error {
+	if err := r.startRegistry(ctx); err != nil {
+		return err
+	}
+	if err := r.startEndpoints(ctx); err != nil {
+		return err
+	}
+	if err := r.prepareSidecars(); err != nil {
+		return err
+	}
+	var err error
+	if r.generators, err = r.startWorkers(worker.LoadRole, 1); err != nil {
+		return err
+	}
+	r.enter("sidecars start")
+	return r.startSidecars(ctx)
+}
+
+func (r *runner) startRegistry(ctx context.Context) error {
+	var err error
+	if r.registry, err = r.startWorker(worker.RegistryRole); err != nil {
+		return err
+	}
+	options := r.spec().Registry
+	var at worker.RegistryAddress
+	err = r.registry.Call(ctx, worker.StartRegistry, worker.RegistryOptions{
+		CallsPerSecond: options.CallsPerSecond,
+		MaxQueueDelay:  options.MaxQueueDelay.Std(),
+		History:        options.History,
+		Scratch:        r.scratch,
+	}, &at)
+	r.configurations.Discovery = at.Address
+	return err
+}
+
+// startEndpoints starts the endpoints of each zone, and tells discovery of them.
+func (r *runner) startEndpoints(ctx context.Context) error {
+	var err error
+	if r.zones, err = r.startWorkers(worker.EndpointsRole, len(r.layout.Zones)); err != nil {
+		return err
+	}
+	asked := make([]worker.EndpointConfigs, len(r.zones))
+	for _, e := range r.layout.Endpoints {
+		asked[e.Zone].Configs = append(asked[e.Zone].Configs, r.layout.Config(e, r.spec()))
+	}
+	started, err := callEach[worker.EndpointConfigs, worker.Lives](ctx, r.zones, worker.StartEndpoints, asked)
+	if err != nil {
+		return err
+	}
+	r.noteLives(started)
+	list := worker.Instances{Instances: r.instances(r.layout.Endpoints, registry.Ready)}
+	return r.registry.Call(ctx, worker.SetInstances, list, nil)
+}
+
+// noteLives takes up where endpoints are reached.
+func (r *runner) noteLives(all []worker.Lives) {
+	r.livesMu.Lock()
+	defer r.livesMu.Unlock()
+	for _, some := range all {
+		for _, life := range some.Lives {
+			r.lives[life.Name] = life
+		}
+	}
+}
+
+// instances returns what discovery is to tell of endpoints.
+func (r *runner) instances(of []fleet.Endpoint, health string) []registry.Instance {
+	r.livesMu.Lock()
+	defer r.livesMu.Unlock()
+	list := make([]registry.Instance, len(of))
+	for i, e := range of {
+		life := r.lives[e.Name]
+		list[i] = r.layout.Instance(e, life.Address, health, life.BornMS)
+	}
+	return list
+}
+
+// prepareSidecars chooses addresses and hosts, and writes the configuration files.
+func (r *runner) prepareSidecars() error {
+	perHost := r.spec().Fleet.HollowPerWorker
+	for _, s := range r.layout.Sidecars {
+		if s.Real {
+			listen, err := reserveAddress(len(r.real))
+			if err != nil {
+				return err
+			}
+			r.real = append(r.real, &realSidecar{Sidecar: s, listen: listen, path: r.path(s)})
+			continue
+		}
+		if last := len(r.hollow) - 1; last < 0 || len(r.hollow[last]) == perHost {
+			r.hollow = append(r.hollow, nil)
+		}
+		last := len(r.hollow) - 1
+		r.hollow[last] = append(r.hollow[last], s)
+	}
+	_, err := r.writeAll()
+	return err
+}
+
+// path returns where a sidecar's configuration file is.
+func (r *runner) path(s fleet.Sidecar) string { return filepath.Join(r.scratch, s.Name+".json") }
+
+// write puts the configuration's present version in place of a sidecar's file, at once.
+func (r *runner) write(s fleet.Sidecar, listen string) (int, error) {
+	text, err := r.configurations.Text(s, listen, r.version)
+	if err != nil {
+		return 0, err
+	}
+	path := r.path(s)
+	next := path + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return 0, err
+	}
+	return len(text), os.Rename(next, path)
+}
+
+// startSidecars starts all sidecars over the same time, and waits until they are ready.
+func (r *runner) startSidecars(ctx context.Context) error {
+	var err error
+	if r.hosts, err = r.startWorkers(worker.HollowRole, len(r.hollow)); err != nil {
+		return err
+	}
+	var before, after registry.Counts
+	if err := r.registry.Call(ctx, worker.CountRegistry, control.Empty{}, &before); err != nil {
+		return err
+	}
+	began := time.Now()
+	spread := r.spec().Limits.StartSpread.Std() * time.Duration(r.options.Size.Sidecars) / largestSize
+	var real, hollow result.Spread
+	var realErr, hollowErr error
+	var starting sync.WaitGroup
+	starting.Add(2)
+	go func() {
+		defer starting.Done()
+		real, realErr = r.startAllReal(ctx, spread)
+	}()
+	go func() {
+		defer starting.Done()
+		hollow, hollowErr = r.startHollow(ctx, r.hollow, spread)
+	}()
+	starting.Wait()
+	if err := errors.Join(realErr, hollowErr); err != nil {
+		return err
+	}
+	took := time.Since(began)
+	if err := r.registry.Call(ctx, worker.CountRegistry, control.Empty{}, &after); err != nil {
+		return err
+	}
+	r.run.Startup = result.Startup{Seconds: took.Seconds(), RealReady: real, HollowReady: hollow,
+		Discovery: result.DiscoverySince(after, before)}
+	if hollow.Missing > 0 {
+		return errors.New("not all hollow sidecars are ready within limits.ready")
+	}
+	return nil
+}
+
+// startAllReal starts the real sidecars evenly over a time.
+func (r *runner) startAllReal(ctx context.Context, spread time.Duration) (result.Spread, error) {
+	for i, s := range r.real {
+		if i > 0 {
+			if err := pause(ctx, spread/time.Duration(len(r.real))); err != nil {
+				return result.Spread{}, err
+			}
+		}
+		if err := r.startReal(s); err != nil {
+			return result.Spread{}, err
+		}
+	}
+	return r.awaitReal(ctx, r.real)
+}
+
+// awaitReal waits until real sidecars are ready.
+func (r *runner) awaitReal(ctx context.Context, of []*realSidecar) (result.Spread, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.spec().Limits.Ready.Std())
+	defer cancel()
+	took := make([]time.Duration, len(of))
+	for i, s := range of {
+		var err error
+		if took[i], err = s.awaitReady(ctx); err != nil {
+			return result.Spread{}, err
+		}
+	}
+	return result.NewSpread("from a real sidecar's start to its being ready", len(of), took), nil
+}
+
+// startHollow starts hollow sidecars, given by host, and waits until they are ready.
+func (r *runner) startHollow(ctx context.Context, byHost [][]fleet.Sidecar, spread time.Duration) (result.Spread, error) {
+	starts := make([]worker.Sidecars, len(byHost))
+	awaits := make([]worker.Await, len(byHost))
+	count := 0
+	var hosts []*workerProcess
+	for i, some := range byHost {
+		if len(some) == 0 {
+			continue
+		}
+		n := len(hosts)
+		hosts = append(hosts, r.hosts[i])
+		starts[n].Spread = spread
+		awaits[n].Within = r.spec().Limits.Ready.Std()
+		for _, s := range some {
+			starts[n].Files = append(starts[n].Files, worker.SidecarFile{Name: s.Name, Path: r.path(s)})
+			awaits[n].Names = append(awaits[n].Names, s.Name)
+			count++
+		}
+	}
+	if _, err := callEach[worker.Sidecars, control.Empty](ctx, hosts, worker.StartSidecars, starts); err != nil {
+		return result.Spread{}, err
+	}
+	ready, err := callEach[worker.Await, worker.Arrivals](ctx, hosts, worker.AwaitReady, awaits)
+	if err != nil {
+		return result.Spread{}, err
+	}
+	var took []time.Duration
+	for _, some := range ready {
+		for _, arrival := range some.Arrived {
+			took = append(took, arrival.At.Sub(arrival.Started))
+		}
+	}
+	return result.NewSpread("from a hollow sidecar's start to its being ready", count, took), nil
+}
+
+// act does something to endpoints, by zone, and takes up what has changed.
+func (r *runner) act(ctx context.Context, action worker.Action, of []fleet.Endpoint) error {
+	byZone := make([][]string, len(r.zones))
+	for _, e := range of {
+		byZone[e.Zone] = append(byZone[e.Zone], e.Name)
+	}
+	for zone, names := range byZone {
+		if len(names) == 0 {
+			continue
+		}
+		var lives worker.Lives
+		if err := r.zones[zone].Call(ctx, worker.ActOnEndpoints, worker.Act{Action: action, Names: names}, &lives); err != nil {
+			return err
+		}
+		r.noteLives([]worker.Lives{lives})
+	}
+	return nil
+}
+
+// announce tells discovery of endpoints, and returns the version that tells it.
+func (r *runner) announce(ctx context.Context, of []fleet.Endpoint, health string) (worker.Version, error) {
+	var version worker.Version
+	err := r.registry.Call(ctx, worker.UpdateInstances, worker.Instances{Instances: r.instances(of, health)}, &version)
+	return version, err
+}
+
+// addresses returns where endpoints that get load are reached.
+func (r *runner) addresses() []string {
+	r.livesMu.Lock()
+	defer r.livesMu.Unlock()
+	var all []string
+	for _, e := range r.layout.Endpoints {
+		if !r.spared[e.Name] {
+			all = append(all, r.lives[e.Name].Address)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/emulator/play/worker.go
@@ -0,0 +1,72 @@
+package play
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"peatpost/internal/emulator/control"
+	"peatpost/internal/emulator/process"
+	"peatpost/internal/emulator/worker"
+)
+
+// workerProcess is a worker and the way to talk to it.
+type workerProcess struct {
+	*control.Client
+	child *process.Child
+}
+
+// startWorker starts a worker of a role.
+func (r *runner) startWorker(role worker.Role) (*workerProcess, error) {
+	arguments := append(append([]string(nil), r.options.Emulator.Arguments...), string(role))
+	child, err := r.group.Start(process.Program{
+		Name:        string(role) + " worker",
+		Path:        r.options.Emulator.Path,
+		Arguments:   arguments,
+		Environment: r.options.Emulator.Environment,
+		Piped:       true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.watch(child)
+	return &workerProcess{control.NewClient(child.Output, child.Input), child}, nil
+}
+
+// startWorkers starts a number of workers of a role.
+func (r *runner) startWorkers(role worker.Role, count int) ([]*workerProcess, error) {
+	workers := make([]*workerProcess, count)
+	for i := range workers {
+		var err error
+		if workers[i], err = r.startWorker(role); err != nil {
+			return nil, err
+		}
+	}
+	return workers, nil
+}
+
+// callEach makes a request of each of several workers at the same time. The bodies are
+// in the workers' order.
+func callEach[Request, Response any](ctx context.Context, workers []*workerProcess, kind control.Kind, bodies []Request) ([]Response, error) {
+	responses := make([]Response, len(workers))
+	failures := make([]error, len(workers))
+	var calls sync.WaitGroup
+	for i, w := range workers {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			failures[i] = w.Call(ctx, kind, bodies[i], &responses[i])
+		}()
+	}
+	calls.Wait()
+	return responses, errors.Join(failures...)
+}
+
+// callAll makes the same request of each of several workers.
+func callAll[Request, Response any](ctx context.Context, workers []*workerProcess, kind control.Kind, body Request) ([]Response, error) {
+	bodies := make([]Request, len(workers))
+	for i := range bodies {
+		bodies[i] = body
+	}
+	return callEach[Request, Response](ctx, workers, kind, bodies)
+}
--- /dev/null
+++ b/internal/emulator/result/delta.go
@@ -0,0 +1,53 @@
+package result
+
+import (
+	"peatpost/internal/emulator/endpoint"
+	"peatpost/internal/emulator/registry"
+	"peatpost/internal/emulator/worker"
+)
+
+// DiscoverySince returns what discovery counted since an earlier reading. Connections
+// that are open are as they are now.
+func DiscoverySince(now, earlier registry.Counts) registry.Counts {
+	now.WholeCalls -= earlier.WholeCalls
+	now.WatchCalls -= earlier.WatchCalls
+	now.WholeAnswers -= earlier.WholeAnswers
+	now.Changed -= earlier.Changed
+	now.Empty -= earlier.Empty
+	now.Unavailable -= earlier.Unavailable
+	now.NotFound -= earlier.NotFound
+	now.Reset -= earlier.Reset
+	now.BytesIn -= earlier.BytesIn
+	now.BytesOut -= earlier.BytesOut
+	now.Connections.Accepted -= earlier.Connections.Accepted
+	now.HandlingCPU -= earlier.HandlingCPU
+	now.ProcessCPU -= earlier.ProcessCPU
+	return now
+}
+
+// EndpointsSince returns what endpoints counted since an earlier reading. Connections
+// that are open are as they are now.
+func EndpointsSince(now, earlier endpoint.Counts) endpoint.Counts {
+	now.Requests -= earlier.Requests
+	now.Served -= earlier.Served
+	now.Rejected -= earlier.Rejected
+	now.MissingID -= earlier.MissingID
+	now.Duplicates -= earlier.Duplicates
+	now.Abandoned -= earlier.Abandoned
+	now.Probes -= earlier.Probes
+	now.BytesIn -= earlier.BytesIn
+	now.BytesOut -= earlier.BytesOut
+	now.Connections.Accepted -= earlier.Connections.Accepted
+	return now
+}
+
+// HollowSince returns what hollow sidecars counted since an earlier reading. Those
+// that run are as they are now.
+func HollowSince(now, earlier worker.SidecarCounts) worker.SidecarCounts {
+	now.WholeLists -= earlier.WholeLists
+	now.Changes -= earlier.Changes
+	now.InForce -= earlier.InForce
+	now.Refused -= earlier.Refused
+	now.Failed -= earlier.Failed
+	return now
+}
--- /dev/null
+++ b/internal/emulator/result/spread.go
@@ -0,0 +1,29 @@
+package result
+
+import (
+	"slices"
+	"time"
+)
+
+// NewSpread sums up times that a number of sidecars took. Those that have none count
+// as missing.
+func NewSpread(what string, of int, took []time.Duration) Spread {
+	sorted := slices.Sorted(slices.Values(took))
+	return Spread{
+		What:     what,
+		Of:       of,
+		Missing:  of - len(sorted),
+		MedianMS: Milliseconds(quantile(sorted, 0.5)),
+		P99MS:    Milliseconds(quantile(sorted, 0.99)),
+		LastMS:   Milliseconds(quantile(sorted, 1)),
+	}
+}
+
+// quantile returns the least of the sorted values that this part of all is not over.
+func quantile(sorted []time.Duration, part float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	rank := int(part*float64(len(sorted)) + 0.9999)
+	return sorted[min(len(sorted)-1, max(0, rank-1))]
+}
--- /dev/null
+++ b/internal/emulator/result/summary.go
@@ -0,0 +1,90 @@
+package result
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteSummary prints a run for people.
+func WriteSummary(out io.Writer, run *Run) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%s, %d sidecars (%d real), %d endpoints, play %d, commit %s: %.1f s, %.0f MB at most%s\n",
+		run.Scenario, run.Size.Sidecars, run.Size.Real, run.Size.Endpoints, run.Play, run.Commit, run.Seconds,
+		run.PeakMemoryMB, verdict(run))
+	fmt.Fprintf(table, "start\t%.2f s; whole lists %d, bytes out %d\n", run.Startup.Seconds,
+		run.Startup.Discovery.WholeAnswers, run.Startup.Discovery.BytesOut)
+	writeSpreads(table, []Spread{run.Startup.HollowReady, run.Startup.RealReady})
+	for i := range run.Phases {
+		writePhase(table, &run.Phases[i])
+	}
+	return table.Flush()
+}
+
+func verdict(run *Run) string {
+	text := ""
+	if run.Saturated {
+		text += "; SATURATED: the figures tell of the machine"
+	}
+	if run.Stopped != "" {
+		text += "; STOPPED: " + run.Stopped
+	}
+	return text
+}
+
+func writePhase(table io.Writer, phase *Phase) {
+	fmt.Fprintf(table, "phase %s\t%.1f s, machine %.0f%% busy\n", phase.Name, phase.Seconds, phase.MachineCPUShare*100)
+	for _, usage := range phase.Roles {
+		if usage.Processes == 0 {
+			continue
+		}
+		per := perUnit(usage, phase.Seconds)
+		fmt.Fprintf(table, "  %s\t%d in %d processes\t%.3f %% of a core each\t%.1f MB each\t%.0f B/s read, %.0f B/s written each\t%d descriptors\n",
+			usage.Role, usage.Units, usage.Processes, per.cpuPercent, per.residentMB, per.readBytes, per.writeBytes, usage.Descriptors)
+	}
+	d := phase.Discovery
+	fmt.Fprintf(table, "  discovery\t%.1f calls/s\t%d whole, %d changed, %d empty, %d unavailable\t%.0f B/s in, %.0f B/s out\n",
+		float64(d.WholeCalls+d.WatchCalls)/phase.Seconds, d.WholeAnswers, d.Changed, d.Empty, d.Unavailable,
+		float64(d.BytesIn)/phase.Seconds, float64(d.BytesOut)/phase.Seconds)
+	e := phase.Endpoints
+	fmt.Fprintf(table, "  endpoints\t%.1f requests/s, %.1f probes/s\t%d rejected, %d duplicates\t%d connections open, %d accepted\n",
+		float64(e.Requests)/phase.Seconds, float64(e.Probes)/phase.Seconds, e.Rejected, e.Duplicates,
+		e.Connections.Open, e.Connections.Accepted)
+	writeRequests(table, "through sidecars", phase.Through)
+	writeRequests(table, "direct", phase.Direct)
+	writeSpreads(table, phase.Spreads)
+	for _, note := range phase.Notes {
+		fmt.Fprintf(table, "  note\t%s\n", note)
+	}
+}
+
+func writeRequests(table io.Writer, what string, r *Requests) {
+	if r == nil {
+		return
+	}
+	c := r.Counts
+	fmt.Fprintf(table, "  %s\t%.1f/s\tp50 %.2f, p99 %.2f, p99.9 %.2f, max %.1f ms\tserved %d, refused %d, failed %d, lost %d, mismatched %d, unsent %d, cancelled %d\n",
+		what, float64(c.Planned)/max(r.Seconds, 1e-9), r.P50MS, r.P99MS, r.P999MS, r.MaxMS, c.Served, c.Refused, c.Failed,
+		c.Lost(), c.Mismatched, c.Unsent, c.Cancelled)
+}
+
+func writeSpreads(table io.Writer, spreads []Spread) {
+	for _, s := range spreads {
+		if s.Of > 0 {
+			fmt.Fprintf(table, "  %s\t%d of %d\tmedian %.0f, p99 %.0f, last %.0f ms\n", s.What, s.Of-s.Missing, s.Of, s.MedianMS, s.P99MS, s.LastMS)
+		}
+	}
+}
+
+// unitUsage is what one unit of a role spends and holds on average.
+type unitUsage struct{ cpuPercent, residentMB, readBytes, writeBytes float64 }
+
+func perUnit(usage RoleUsage, seconds float64) unitUsage {
+	units := max(1, float64(usage.Units))
+	return unitUsage{
+		cpuPercent: usage.CPUSeconds / seconds / units * 100,
+		residentMB: usage.ResidentMB / units,
+		readBytes:  float64(usage.ReadBytes) / seconds / units,
+		writeBytes: float64(usage.WriteBytes) / seconds / units,
+	}
+}
--- /dev/null
+++ b/internal/emulator/spec/read.go
@@ -0,0 +1,173 @@
+package spec
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Bounds of what may be asked for.
+const (
+	maxSidecars  = 2000
+	maxEndpoints = 2000
+	maxReal      = 100
+	maxMemoryMB  = 24 << 10
+	maxDuration  = 10 * time.Minute
+	maxRequests  = 5_000_000
+	maxEvents    = 1000
+)
+
+// InputError is a fault in what the user gave: an option, the scenario file, a program
+// that is missing.
+type InputError struct{ Message string }
+
+func (e *InputError) Error() string { return e.Message }
+
+// Invalid makes an InputError.
+func Invalid(format string, args ...any) error {
+	return &InputError{fmt.Sprintf(format, args...)}
+}
+
+// Read reads a scenario file. It accepts no key that it does not know.
+func Read(path string) (*File, error) {
+	var file File
+	meta, err := toml.DecodeFile(path, &file)
+	if err != nil {
+		return nil, Invalid("%s: %s", path, firstLine(err.Error()))
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, Invalid("%s: unknown key %s", path, unknown[0])
+	}
+	if err := file.check(); err != nil {
+		return nil, Invalid("%s: %s", path, err)
+	}
+	return &file, nil
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
+
+// Names returns the names of the scenarios, sorted.
+func (f *File) Names() []string { return slices.Sorted(maps.Keys(f.Scenarios)) }
+
+// Scenario returns a scenario by its name.
+func (f *File) Scenario(name string) (Scenario, error) {
+	scenario, known := f.Scenarios[name]
+	if !known {
+		return Scenario{}, Invalid("unknown scenario %q; known are %s", name, strings.Join(f.Names(), ", "))
+	}
+	return scenario, nil
+}
+
+// Check finds what is out of range in a size.
+func (s Size) Check() error {
+	switch {
+	case s.Sidecars < 1 || s.Sidecars > maxSidecars:
+		return Invalid("sidecars: %d is out of range, 1 to %d", s.Sidecars, maxSidecars)
+	case s.Endpoints < 1 || s.Endpoints > maxEndpoints:
+		return Invalid("endpoints: %d is out of range, 1 to %d", s.Endpoints, maxEndpoints)
+	case s.Real < 0 || s.Real > min(maxReal, s.Sidecars):
+		return Invalid("real: %d is out of range, 0 to %d of %d sidecars", s.Real, min(maxReal, s.Sidecars), s.Sidecars)
+	}
+	return nil
+}
+
+// bound is a figure of the file and the range it has to be in.
+type bound struct {
+	key             string
+	value           float64
+	least, greatest float64
+}
+
+// check finds the first figure that is out of range.
+func (f *File) check() error {
+	bounds := []bound{
+		{"fleet.services", float64(f.Fleet.Services), 1, 100},
+		{"fleet.regions", float64(len(f.Fleet.Regions)), 1, 8},
+		{"fleet.zones_per_region", float64(f.Fleet.ZonesPerRegion), 1, 8},
+		{"fleet.kinds", float64(len(f.Fleet.Kinds)), 1, 8},
+		{"fleet.cell_size", float64(f.Fleet.CellSize), 1, maxEndpoints},
+		{"fleet.hollow_per_worker", float64(f.Fleet.HollowPerWorker), 1, 200},
+		{"sidecar.memory_mb", float64(f.Sidecar.MemoryMB), 16, 1024},
+		{"sidecar.sockets", float64(f.Sidecar.Sockets), 64, 4096},
+		{"sidecar.probe_price", f.Sidecar.ProbePrice, 0, 1},
+		{"sidecar.max_attempts", float64(f.Sidecar.MaxAttempts), 1, 10},
+		{"sidecar.tenants", float64(f.Sidecar.Tenants), 1, 1024},
+		{"endpoint.cores", float64(f.Endpoint.Cores), 1, 64},
+		{"endpoint.service_time", f.Endpoint.ServiceTime.Std().Seconds(), 0, 10},
+		{"endpoint.queue_limit", float64(f.Endpoint.QueueLimit), 0, 10_000},
+		{"endpoint.cold_share", f.Endpoint.ColdShare, 0, 1},
+		{"registry.calls_per_second", f.Registry.CallsPerSecond, 0, 1e6},
+		{"registry.history", float64(f.Registry.History), 0, 1e6},
+		{"load.calls_per_second", f.Load.CallsPerSecond, 0, 10_000},
+		{"load.direct_calls_per_second", f.Load.DirectCallsPerSecond, 0, 10_000},
+		{"load.max_in_flight", float64(f.Load.MaxInFlight), 1, 10_000},
+		{"load.classes", float64(len(f.Load.Classes)), 1, 16},
+		{"limits.memory_mb", float64(f.Limits.MemoryMB), 64, maxMemoryMB},
+		{"limits.duration", f.Limits.Duration.Std().Seconds(), 1, maxDuration.Seconds()},
+		{"limits.requests", float64(f.Limits.Requests), 1, maxRequests},
+		{"limits.start_spread", f.Limits.StartSpread.Std().Seconds(), 0, maxDuration.Seconds()},
+		{"limits.ready", f.Limits.Ready.Std().Seconds(), 1, maxDuration.Seconds()},
+	}
+	if err := checkBounds(bounds); err != nil {
+		return err
+	}
+	for i, class := range f.Load.Classes {
+		if !slices.Contains([]string{RepeatPure, RepeatToken, RepeatSideEffect}, class.Repeat) {
+			return Invalid("load.classes[%d].repeat: %q is not known", i, class.Repeat)
+		}
+	}
+	if !slices.Contains([]string{DiscoverySubscribe, DiscoveryAutomatic}, f.Sidecar.Discovery) {
+		return Invalid("sidecar.discovery: %q is not known", f.Sidecar.Discovery)
+	}
+	for _, name := range f.Names() {
+		if err := f.Scenarios[name].check(); err != nil {
+			return Invalid("scenarios.%s.%s", name, err)
+		}
+	}
+	return nil
+}
+
+func checkBounds(bounds []bound) error {
+	for _, b := range bounds {
+		if !(b.value >= b.least && b.value <= b.greatest) {
+			return Invalid("%s: %v is out of range, %v to %v", b.key, b.value, b.least, b.greatest)
+		}
+	}
+	return nil
+}
+
+// check finds what is out of range in a scenario.
+func (s Scenario) check() error {
+	phases := []bound{
+		{"settle", s.Settle.Std().Seconds(), 0, maxDuration.Seconds()},
+		{"rest", s.Rest.Std().Seconds(), 0, maxDuration.Seconds()},
+		{"loaded", s.Loaded.Std().Seconds(), 0, maxDuration.Seconds()},
+	}
+	events := []bound{
+		{"per_day", float64(s.PerDay), 1, 1e6},
+		{"compression", s.Compression, 1, 1e6},
+		{"events", float64(s.Events), 1, maxEvents},
+		{"burst", float64(s.Burst), 0, maxEvents},
+		{"drain", s.Drain.Std().Seconds(), 0, maxDuration.Seconds()},
+	}
+	outage := []bound{
+		{"gone", s.Gone.Std().Seconds(), 0.1, maxDuration.Seconds()},
+		{"back", s.Back.Std().Seconds(), 0.1, maxDuration.Seconds()},
+	}
+	switch s.Kind {
+	case Steady:
+		return checkBounds(phases)
+	case Changes, Replace:
+		return checkBounds(append(phases, events...))
+	case Zone:
+		return checkBounds(append(phases, outage...))
+	}
+	return Invalid("kind: %q is not known", s.Kind)
+}
--- /dev/null
+++ b/internal/emulator/spec/spec.go
@@ -0,0 +1,160 @@
+// Package spec reads what the emulator is to play: the scenario file and the sizes
+// that the command line gives.
+package spec
+
+import "time"
+
+// File is the scenario file.
+type File struct {
+	Fleet     Fleet               `toml:"fleet" json:"fleet"`
+	Sidecar   Sidecar             `toml:"sidecar" json:"sidecar"`
+	Endpoint  Endpoint            `toml:"endpoint" json:"endpoint"`
+	Registry  Registry            `toml:"registry" json:"registry"`
+	Load      Load                `toml:"load" json:"load"`
+	Limits    Limits              `toml:"limits" json:"limits"`
+	Scenarios map[string]Scenario `toml:"scenarios" json:"-"`
+}
+
+// Fleet says how endpoints and sidecars spread.
+type Fleet struct {
+	Services        int      `toml:"services" json:"services"`
+	Regions         []string `toml:"regions" json:"regions"`
+	ZonesPerRegion  int      `toml:"zones_per_region" json:"zones_per_region"`
+	Kinds           []string `toml:"kinds" json:"kinds"` // of machines
+	CellSize        int      `toml:"cell_size" json:"cell_size"`
+	HollowPerWorker int      `toml:"hollow_per_worker" json:"hollow_per_worker"`
+}
+
+// Sidecar is what every sidecar is configured with.
+type Sidecar struct {
+	MemoryMB      int      `toml:"memory_mb" json:"memory_mb"`
+	Sockets       int      `toml:"sockets" json:"sockets"`
+	Discovery     string   `toml:"discovery" json:"discovery"` // subscribe or automatic
+	LoadField     string   `toml:"load_field" json:"load_field"`
+	ProbePrice    float64  `toml:"probe_price" json:"probe_price"`
+	KeepAlive     Duration `toml:"keep_alive" json:"keep_alive"`
+	DialTimeout   Duration `toml:"dial_timeout" json:"dial_timeout"`
+	DrainGrace    Duration `toml:"drain_grace" json:"drain_grace"`
+	AskWithin     Duration `toml:"ask_within" json:"ask_within"`
+	MaxAttempts   int      `toml:"max_attempts" json:"max_attempts"`
+	MaxRetryAfter Duration `toml:"max_retry_after" json:"max_retry_after"`
+	Tenants       int      `toml:"tenants" json:"tenants"`
+}
+
+// Endpoint is what every endpoint is like.
+type Endpoint struct {
+	Cores       int      `toml:"cores" json:"cores"`
+	ServiceTime Duration `toml:"service_time" json:"service_time"`
+	QueueLimit  int      `toml:"queue_limit" json:"queue_limit"`
+	WarmUp      Duration `toml:"warm_up" json:"warm_up"`
+	ColdShare   float64  `toml:"cold_share" json:"cold_share"`
+}
+
+// Registry is what discovery can do.
+type Registry struct {
+	CallsPerSecond float64  `toml:"calls_per_second" json:"calls_per_second"`
+	MaxQueueDelay  Duration `toml:"max_queue_delay" json:"max_queue_delay"`
+	History        int      `toml:"history" json:"history"`
+}
+
+// Load is what the clients of the real sidecars send.
+type Load struct {
+	CallsPerSecond       float64 `toml:"calls_per_second" json:"calls_per_second"`               // to each real sidecar
+	DirectCallsPerSecond float64 `toml:"direct_calls_per_second" json:"direct_calls_per_second"` // to endpoints, over all
+	MaxInFlight          int     `toml:"max_in_flight" json:"max_in_flight"`
+	Classes              []Class `toml:"classes" json:"classes"`
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name   string   `toml:"name" json:"name"`
+	Repeat string   `toml:"repeat" json:"repeat"` // pure, token or side_effect
+	Target Duration `toml:"target" json:"target"`
+	GiveUp Duration `toml:"give_up" json:"give_up"`
+	Share  float64  `toml:"share" json:"share"`
+}
+
+// How a class's requests may be repeated.
+const (
+	RepeatPure       = "pure"
+	RepeatToken      = "token"
+	RepeatSideEffect = "side_effect"
+)
+
+// How sidecars hear of endpoints.
+const (
+	DiscoverySubscribe = "subscribe"
+	DiscoveryAutomatic = "automatic"
+)
+
+// Limits bound every run.
+type Limits struct {
+	MemoryMB    int      `toml:"memory_mb" json:"memory_mb"` // of all processes together
+	Duration    Duration `toml:"duration" json:"duration"`
+	Requests    int      `toml:"requests" json:"requests"`
+	StartSpread Duration `toml:"start_spread" json:"start_spread"` // over which sidecars start, at the largest size
+	Ready       Duration `toml:"ready" json:"ready"`               // in which the fleet has to be ready, or a change has to be in force
+}
+
+// Kind is what a scenario does.
+type Kind string
+
+// The kinds of scenario.
+const (
+	Steady  Kind = "steady"
+	Changes Kind = "changes"
+	Replace Kind = "replace"
+	Zone    Kind = "zone"
+)
+
+// Scenario is one named entry of the file. Which figures it needs depends on its kind.
+type Scenario struct {
+	Kind        Kind     `toml:"kind" json:"kind"`
+	Description string   `toml:"description" json:"description"`
+	Settle      Duration `toml:"settle" json:"settle"` // from all being ready to the first phase
+	Rest        Duration `toml:"rest" json:"rest"`     // a phase without load; 0: none
+	Loaded      Duration `toml:"loaded" json:"loaded"` // a phase with load and nothing else; 0: none
+
+	PerDay      int     `toml:"per_day" json:"per_day,omitempty"`         // events a day: changes or restarts
+	Compression float64 `toml:"compression" json:"compression,omitempty"` // how much faster than that they are played
+	Events      int     `toml:"events" json:"events,omitempty"`           // that are played
+	Burst       int     `toml:"burst" json:"burst,omitempty"`             // changes made at once after these
+
+	Drain Duration `toml:"drain" json:"drain,omitempty"` // from a planned restart's notice to the restart
+	Gone  Duration `toml:"gone" json:"gone,omitempty"`   // how long a zone is away
+	Back  Duration `toml:"back" json:"back,omitempty"`   // how long it is watched once it is back
+}
+
+// Interval is the time from one event to the next.
+func (s Scenario) Interval() time.Duration {
+	const day = 24 * time.Hour
+	return time.Duration(float64(day) / float64(s.PerDay) / s.Compression)
+}
+
+// Size is how large a fleet is played.
+type Size struct {
+	Sidecars  int `json:"sidecars"` // real ones included
+	Endpoints int `json:"endpoints"`
+	Real      int `json:"real"`
+}
+
+// Duration is a time.Duration that files write as text, such as 1.5s.
+type Duration time.Duration
+
+// UnmarshalText reads a duration such as 1.5s.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// MarshalText writes a duration such as 1.5s.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the duration as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Micros returns the duration in whole microseconds.
+func (d Duration) Micros() int64 { return time.Duration(d).Microseconds() }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -17,3 +17,6 @@
 func ownProcess() Host {
 	return Host{Directory: os.TempDir(), LimitMemory: func(bytes int64) { debug.SetMemoryLimit(bytes) }}
 }
+
+// Hash returns a short hash of what the configuration says that holds at a whole fleet.
+func (c *Config) Hash() string { return "" }
