--- a/cmd/emulator/sweep.go
+++ b/cmd/emulator/sweep.go
@@ -1,6 +1,159 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
 
-func newSweepCommand() *cobra.Command  { return &cobra.Command{Use: "sweep"} }
-func newReportCommand() *cobra.Command { return &cobra.Command{Use: "report"} }
+	"github.com/spf13/cobra"
+
+	"peatpost/internal/emulator/play"
+	"peatpost/internal/emulator/result"
+	"peatpost/internal/emulator/spec"
+)
+
+const (
+	defaultPlays  = 2
+	maxPlays      = 20
+	sweepPause    = 2 * time.Second // for the system to finish with the run before
+	defaultMetric = "(a choice for each scenario)"
+)
+
+var defaultSizes = []int{54, 108, 215, 430, 860}
+
+// outputs are where a sweep's table and plot go.
+type outputs struct {
+	table   string
+	plot    string
+	metrics []string
+}
+
+func (o *outputs) register(command *cobra.Command) {
+	flags := command.Flags()
+	flags.StringVar(&o.table, "table", "", "file for the Markdown table (default: standard output)")
+	flags.StringVar(&o.plot, "plot", "", "file for the SVG plot (default: none)")
+	flags.StringArrayVar(&o.metrics, "metric", nil, "metric to plot, as the table names it; may be repeated "+defaultMetric)
+}
+
+// write writes the table and the plot.
+func (o *outputs) write(runs []*result.Run) error {
+	table := os.Stdout
+	if o.table != "" {
+		file, err := os.Create(o.table)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		table = file
+	}
+	if err := result.WriteTable(table, runs); err != nil {
+		return err
+	}
+	if o.plot == "" {
+		return nil
+	}
+	metrics := o.metrics
+	if len(metrics) == 0 {
+		metrics = result.DefaultPlotted
+	}
+	return result.WritePlot(o.plot, runs, metrics)
+}
+
+// sweep is a scenario to play at several sizes.
+type sweep struct {
+	common
+	outputs
+	sizes []int
+	plays int
+	real  int
+}
+
+func newSweepCommand() *cobra.Command {
+	var s sweep
+	command := &cobra.Command{
+		Use:   "sweep",
+		Short: "Play a scenario at several sizes, several times each, and fit lines",
+		Args:  cobra.NoArgs,
+		RunE:  func(command *cobra.Command, _ []string) error { return s.run(command.Context()) },
+	}
+	s.common.register(command)
+	s.outputs.register(command)
+	flags := command.Flags()
+	flags.IntSliceVar(&s.sizes, "sizes", defaultSizes, "numbers of sidecars, with as many endpoints")
+	flags.IntVar(&s.plays, "plays", defaultPlays, "plays of each size")
+	flags.IntVar(&s.real, "real", defaultReal, "number of sidecars with a process of their own")
+	return command
+}
+
+// run plays all sizes in turn, as often as asked for.
+func (s *sweep) run(ctx context.Context) error {
+	options, err := s.options()
+	if err != nil {
+		return err
+	}
+	if err := s.check(options); err != nil {
+		return err
+	}
+	var runs []*result.Run
+	for number := range s.plays {
+		for _, size := range s.sizes {
+			options.Play = number + 1
+			options.Seed = s.seed + uint64(number)
+			options.Size = s.size(size)
+			run, err := play.Run(ctx, options)
+			if err := errorsAfter(err, s.keep(run)); err != nil {
+				return err
+			}
+			runs = append(runs, run)
+			time.Sleep(sweepPause)
+		}
+	}
+	return s.write(runs)
+}
+
+func (s *sweep) size(sidecars int) spec.Size {
+	return spec.Size{Sidecars: sidecars, Endpoints: sidecars, Real: s.real}
+}
+
+// check finds bad input before the first play.
+func (s *sweep) check(options play.Options) error {
+	if s.plays < 1 || s.plays > maxPlays {
+		return spec.Invalid("plays: %d is out of range, 1 to %d", s.plays, maxPlays)
+	}
+	if len(s.sizes) == 0 {
+		return spec.Invalid("sizes: there is none")
+	}
+	for _, size := range s.sizes {
+		options.Size = s.size(size)
+		if err := options.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newReportCommand() *cobra.Command {
+	var o outputs
+	command := &cobra.Command{
+		Use:   "report FILE...",
+		Short: "Make the table and the plot of result files again",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, paths []string) error {
+			var runs []*result.Run
+			for _, path := range paths {
+				some, err := result.Read(path)
+				if err != nil {
+					return spec.Invalid("%s", err)
+				}
+				runs = append(runs, some...)
+			}
+			if len(runs) == 0 {
+				return spec.Invalid("%s: no runs", fmt.Sprint(paths))
+			}
+			return o.write(runs)
+		},
+	}
+	o.register(command)
+	return command
+}
--- a/internal/emulator/play/measure.go
+++ b/internal/emulator/play/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"os"
 	"time"
@@ -17,12 +18,16 @@
 	"peatpost/internal/emulator/worker"
 )
 
+// crowdedPart is such that a process with this part of its descriptors left is crowded.
+const crowdedPart = 20
+
 // roleTotals are a role's figures since the start.
 type roleTotals struct {
 	role      result.Role
 	usage     process.Usage
 	processes int
 	units     int
+	crowded   int // processes that hold nearly all the descriptors they may
 }
 
 // snapshot is what everything has counted by an instant.
@@ -57,7 +62,7 @@
 }
 
 func (r *runner) countEndpoints(ctx context.Context) (endpoint.Counts, error) {
-	counts, err := callAll[control.Empty, endpoint.Counts](ctx, r.zones, worker.CountEndpoints, control.Empty{})
+	counts, err := callAll[control.Empty, endpoint.Counts](ctx, r.stands, worker.CountEndpoints, control.Empty{})
 	var sum endpoint.Counts
 	for _, some := range counts {
 		worker.AddEndpointCounts(&sum, some)
@@ -82,7 +87,7 @@
 		units   int
 	}{
 		{result.HollowSidecar, r.hosts, r.hollowCount()},
-		{result.Endpoint, r.zones, len(r.layout.Endpoints)},
+		{result.Endpoint, r.stands, len(r.layout.Endpoints)},
 		{result.Discovery, []*workerProcess{r.registry}, 1},
 		{result.Generator, r.generators, 1},
 	}
@@ -127,6 +132,13 @@
 	if err != nil {
 		return err
 	}
+	limit, err := process.MaxDescriptors()
+	if err != nil {
+		return err
+	}
+	if usage.Descriptors*crowdedPart > limit*(crowdedPart-1) {
+		t.crowded++
+	}
 	t.usage.Add(usage)
 	t.processes++
 	return nil
@@ -191,6 +203,11 @@
 	phase.MachineCPUShare = s.machine.Share(earlier.machine)
 	for i, totals := range s.roles {
 		phase.Roles = append(phase.Roles, totals.since(earlier.roles[i]))
+		if totals.crowded > 0 {
+			phase.Notes = append(phase.Notes, fmt.Sprintf("%d of %d processes of role %s are out of descriptors: connections were refused",
+				totals.crowded, totals.processes, totals.role))
+			phase.Exhausted = true
+		}
 	}
 	phase.Discovery = result.DiscoverySince(s.discovery, earlier.discovery)
 	phase.Endpoints = result.EndpointsSince(s.endpoints, earlier.endpoints)
--- a/internal/emulator/play/runner.go
+++ b/internal/emulator/play/runner.go
@@ -38,11 +38,12 @@
 	cancel         context.CancelCauseFunc // ends the run for a reason
 
 	registry   *workerProcess
-	zones      []*workerProcess // that play the endpoints, one a zone
+	stands     []*workerProcess // that play endpoints
 	hosts      []*workerProcess // that host hollow sidecars
 	generators []*workerProcess // of load; one
 
 	hollow      [][]fleet.Sidecar // by host
+	standOf     map[string]int    // of an endpoint, by its name
 	real        []*realSidecar
 	livesMu     sync.Mutex
 	lives       map[string]worker.Life // of endpoints, by name
@@ -88,6 +89,7 @@
 		configurations: &fleet.Configurations{File: options.File, Layout: layout, Seed: options.Seed},
 		group:          process.NewGroup(),
 		cancel:         cancel,
+		standOf:        map[string]int{},
 		lives:          map[string]worker.Life{},
 		version:        1,
 		spared:         map[string]bool{},
@@ -150,7 +152,7 @@
 		return fmt.Errorf("%d hollow sidecars failed, the first: %s", hollow.Failed, hollow.FirstFailure)
 	}
 	for _, phase := range r.run.Phases {
-		r.run.Saturated = r.run.Saturated || phase.MachineCPUShare > result.SaturatedShare
+		r.run.Saturated = r.run.Saturated || phase.Exhausted || phase.MachineCPUShare > result.SaturatedShare
 	}
 	return nil
 }
--- a/internal/emulator/play/start.go
+++ b/internal/emulator/play/start.go
@@ -56,17 +56,14 @@
 	return err
 }
 
-// startEndpoints starts the endpoints of each zone, and tells discovery of them.
+// startEndpoints starts the endpoints, and tells discovery of them.
 func (r *runner) startEndpoints(ctx context.Context) error {
+	asked := r.placeEndpoints()
 	var err error
-	if r.zones, err = r.startWorkers(worker.EndpointsRole, len(r.layout.Zones)); err != nil {
+	if r.stands, err = r.startWorkers(worker.EndpointsRole, len(asked)); err != nil {
 		return err
 	}
-	asked := make([]worker.EndpointConfigs, len(r.zones))
-	for _, e := range r.layout.Endpoints {
-		asked[e.Zone].Configs = append(asked[e.Zone].Configs, r.layout.Config(e, r.spec()))
-	}
-	started, err := callEach[worker.EndpointConfigs, worker.Lives](ctx, r.zones, worker.StartEndpoints, asked)
+	started, err := callEach[worker.EndpointConfigs, worker.Lives](ctx, r.stands, worker.StartEndpoints, asked)
 	if err != nil {
 		return err
 	}
@@ -75,6 +72,18 @@
 	return r.registry.Call(ctx, worker.SetInstances, list, nil)
 }
 
+// placeEndpoints spreads the endpoints over workers, and returns what each is to start.
+func (r *runner) placeEndpoints() []worker.EndpointConfigs {
+	perWorker := r.spec().Fleet.EndpointsPerWorker
+	asked := make([]worker.EndpointConfigs, (len(r.layout.Endpoints)+perWorker-1)/perWorker)
+	for i, e := range r.layout.Endpoints {
+		stand := i % len(asked)
+		r.standOf[e.Name] = stand
+		asked[stand].Configs = append(asked[stand].Configs, r.layout.Config(e, r.spec()))
+	}
+	return asked
+}
+
 // noteLives takes up where endpoints are reached.
 func (r *runner) noteLives(all []worker.Lives) {
 	r.livesMu.Lock()
@@ -242,23 +251,24 @@
 	return result.NewSpread("from a hollow sidecar's start to its being ready", count, took), nil
 }
 
-// act does something to endpoints, by zone, and takes up what has changed.
+// act does something to endpoints, and takes up what has changed.
 func (r *runner) act(ctx context.Context, action worker.Action, of []fleet.Endpoint) error {
-	byZone := make([][]string, len(r.zones))
+	names := make([][]string, len(r.stands))
 	for _, e := range of {
-		byZone[e.Zone] = append(byZone[e.Zone], e.Name)
+		stand := r.standOf[e.Name]
+		names[stand] = append(names[stand], e.Name)
 	}
-	for zone, names := range byZone {
-		if len(names) == 0 {
-			continue
-		}
-		var lives worker.Lives
-		if err := r.zones[zone].Call(ctx, worker.ActOnEndpoints, worker.Act{Action: action, Names: names}, &lives); err != nil {
-			return err
+	var stands []*workerProcess
+	var asked []worker.Act
+	for stand, some := range names {
+		if len(some) > 0 {
+			stands = append(stands, r.stands[stand])
+			asked = append(asked, worker.Act{Action: action, Names: some})
 		}
-		r.noteLives([]worker.Lives{lives})
 	}
-	return nil
+	lives, err := callEach[worker.Act, worker.Lives](ctx, stands, worker.ActOnEndpoints, asked)
+	r.noteLives(lives)
+	return err
 }
 
 // announce tells discovery of endpoints, and returns the version that tells it.
--- a/internal/emulator/play/zone.go
+++ b/internal/emulator/play/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"peatpost/internal/emulator/fleet"
 	"peatpost/internal/emulator/registry"
@@ -77,9 +78,13 @@
 	if err := r.act(ctx, worker.Vanish, part.endpoints); err != nil {
 		return err
 	}
+	told := time.Now().Add(r.options.Scenario.Notice.Std())
 	if err := r.stopSidecars(ctx, part); err != nil {
 		return err
 	}
+	if err := pause(ctx, time.Until(told)); err != nil {
+		return err
+	}
 	version, err := r.announce(ctx, part.endpoints, registry.Gone)
 	if err != nil {
 		return err
--- a/internal/emulator/process/usage.go
+++ b/internal/emulator/process/usage.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -61,6 +62,13 @@
 	return u, err
 }
 
+// MaxDescriptors returns how many descriptors a process may have open.
+func MaxDescriptors() (int, error) {
+	var limit syscall.Rlimit
+	err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit)
+	return int(limit.Cur), err
+}
+
 // ResidentKB reads the memory that a process holds.
 func ResidentKB(pid int) (int64, error) {
 	status, err := readFields(filepath.Join(procDirectory, strconv.Itoa(pid), "status"))
--- /dev/null
+++ b/internal/emulator/result/fit.go
@@ -0,0 +1,112 @@
+package result
+
+import (
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/floats"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Least data for a slope.
+const (
+	minSizes = 4
+	minPlays = 2
+)
+
+// Point is a metric's value in one run.
+type Point struct {
+	Size  int // sidecars
+	Play  int
+	Value float64
+}
+
+// Series is a metric over the size of the fleet.
+type Series struct {
+	Name   string
+	Unit   string
+	Points []Point
+	Fit    *Fit // nil where there are too few points for a slope
+}
+
+// Fit is a least-squares line and how the points lie about it.
+type Fit struct {
+	Intercept   float64
+	Slope       float64   // for each sidecar
+	RSquared    float64   // 1 where all points lie on the line
+	Residuals   []float64 // in the order of the points
+	MaxResidual float64   // the largest without its sign
+	Deviation   float64   // root of the mean square of the residuals
+	Spread      float64   // the most that plays of one size differ by
+}
+
+// At returns the line's value at a size.
+func (f *Fit) At(size float64) float64 { return f.Intercept + f.Slope*size }
+
+// Usable says whether a run's figures may go into a slope: it was not ended early, and
+// the machine was not the limit.
+func (r *Run) Usable() bool { return r.Stopped == "" && !r.Saturated }
+
+// AllSeries gathers the metrics of the usable runs, in the order of their first run.
+func AllSeries(runs []*Run) []Series {
+	var names []string
+	byName := map[string]*Series{}
+	for _, run := range runs {
+		if !run.Usable() {
+			continue
+		}
+		for _, m := range run.Metrics() {
+			s := byName[m.Name]
+			if s == nil {
+				s = &Series{Name: m.Name, Unit: m.Unit}
+				byName[m.Name] = s
+				names = append(names, m.Name)
+			}
+			s.Points = append(s.Points, Point{run.Size.Sidecars, run.Play, m.Value})
+		}
+	}
+	all := make([]Series, len(names))
+	for i, name := range names {
+		all[i] = *byName[name]
+		all[i].Fit = fit(all[i].Points)
+	}
+	return all
+}
+
+// fit returns the least-squares line through points; nil where they are too few.
+func fit(points []Point) *Fit {
+	bySize := valuesBySize(points)
+	enough := 0
+	for _, values := range bySize {
+		if len(values) >= minPlays {
+			enough++
+		}
+	}
+	if enough < minSizes {
+		return nil
+	}
+	sizes, values := make([]float64, len(points)), make([]float64, len(points))
+	for i, p := range points {
+		sizes[i], values[i] = float64(p.Size), p.Value
+	}
+	var f Fit
+	f.Intercept, f.Slope = stat.LinearRegression(sizes, values, nil, false)
+	f.RSquared = stat.RSquared(sizes, values, nil, f.Intercept, f.Slope)
+	for i := range points {
+		f.Residuals = append(f.Residuals, values[i]-f.At(sizes[i]))
+	}
+	f.MaxResidual = floats.Norm(f.Residuals, math.Inf(1))
+	f.Deviation = floats.Norm(f.Residuals, 2) / math.Sqrt(float64(len(points)))
+	for _, some := range bySize {
+		f.Spread = max(f.Spread, slices.Max(some)-slices.Min(some))
+	}
+	return &f
+}
+
+func valuesBySize(points []Point) map[int][]float64 {
+	bySize := map[int][]float64{}
+	for _, p := range points {
+		bySize[p.Size] = append(bySize[p.Size], p.Value)
+	}
+	return bySize
+}
--- a/internal/emulator/result/result.go
+++ b/internal/emulator/result/result.go
@@ -111,6 +111,7 @@
 	Spreads         []Spread             `json:"spreads,omitempty"`
 	Events          int                  `json:"events,omitempty"` // changes or restarts played
 	HandedOutBytes  int64                `json:"handed_out_bytes,omitempty"`
+	Exhausted       bool                 `json:"exhausted,omitempty"` // a process was out of descriptors
 	Notes           []string             `json:"notes,omitempty"`
 }
 
--- /dev/null
+++ b/internal/emulator/result/table.go
@@ -0,0 +1,106 @@
+package result
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+)
+
+// WriteTable writes the metrics of a sweep as a Markdown table: the mean of the plays
+// of each size, and the line through all.
+func WriteTable(out io.Writer, runs []*Run) error {
+	if len(runs) == 0 {
+		_, err := fmt.Fprintln(out, "No runs.")
+		return err
+	}
+	var text strings.Builder
+	writeHead(&text, runs)
+	sizes := sizesOf(runs)
+	writeColumns(&text, sizes)
+	for _, series := range AllSeries(runs) {
+		writeRow(&text, series, sizes)
+	}
+	_, err := io.WriteString(out, text.String())
+	return err
+}
+
+// writeHead tells what the table is of, and which runs are left out.
+func writeHead(text *strings.Builder, runs []*Run) {
+	first := runs[0]
+	left := 0
+	var commits []string
+	for _, run := range runs {
+		if !run.Usable() {
+			left++
+		}
+		if !slices.Contains(commits, run.Commit) {
+			commits = append(commits, run.Commit)
+		}
+	}
+	fmt.Fprintf(text, "Scenario `%s`: %d runs at commit %s on %d cores, %d MB, kernel %s, %s, seed %d.\n", first.Scenario,
+		len(runs), strings.Join(commits, ", "), first.Machine.Cores, first.Machine.MemoryMB, first.Machine.Kernel,
+		first.Machine.Go, first.Seed)
+	fmt.Fprintf(text, "Left out, as the machine was the limit or the run was ended early: %d.\n\n", left)
+}
+
+// sizesOf returns the sizes of the usable runs, in order.
+func sizesOf(runs []*Run) []int {
+	var sizes []int
+	for _, run := range runs {
+		if run.Usable() {
+			sizes = append(sizes, run.Size.Sidecars)
+		}
+	}
+	slices.Sort(sizes)
+	return slices.Compact(sizes)
+}
+
+func writeColumns(text *strings.Builder, sizes []int) {
+	text.WriteString("| metric | unit |")
+	for _, size := range sizes {
+		fmt.Fprintf(text, " %d |", size)
+	}
+	text.WriteString(" at 0 | for each sidecar | R² | largest residual | spread of plays |\n| --- | --- |")
+	text.WriteString(strings.Repeat(" ---: |", len(sizes)+5))
+	text.WriteString("\n")
+}
+
+func writeRow(text *strings.Builder, series Series, sizes []int) {
+	fmt.Fprintf(text, "| %s | %s |", series.Name, series.Unit)
+	bySize := valuesBySize(series.Points)
+	for _, size := range sizes {
+		fmt.Fprintf(text, " %s |", mean(bySize[size]))
+	}
+	if f := series.Fit; f != nil {
+		fmt.Fprintf(text, " %s | %s | %s | %s | %s |\n", figure(f.Intercept), figure(f.Slope), figure(f.RSquared),
+			figure(f.MaxResidual), figure(f.Spread))
+		return
+	}
+	text.WriteString(" too few | | | | |\n")
+}
+
+func mean(values []float64) string {
+	if len(values) == 0 {
+		return ""
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return figure(sum / float64(len(values)))
+}
+
+// figure writes a number to three digits or more.
+func figure(v float64) string {
+	switch size := math.Abs(v); {
+	case math.IsNaN(v):
+		return "-"
+	case size >= 100 || v == 0:
+		return fmt.Sprintf("%.0f", v)
+	case size >= 1:
+		return fmt.Sprintf("%.2f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
--- a/internal/emulator/spec/read.go
+++ b/internal/emulator/spec/read.go
@@ -94,6 +94,7 @@
 		{"fleet.kinds", float64(len(f.Fleet.Kinds)), 1, 8},
 		{"fleet.cell_size", float64(f.Fleet.CellSize), 1, maxEndpoints},
 		{"fleet.hollow_per_worker", float64(f.Fleet.HollowPerWorker), 1, 200},
+		{"fleet.endpoints_per_worker", float64(f.Fleet.EndpointsPerWorker), 1, 200},
 		{"sidecar.memory_mb", float64(f.Sidecar.MemoryMB), 16, 1024},
 		{"sidecar.sockets", float64(f.Sidecar.Sockets), 64, 4096},
 		{"sidecar.probe_price", f.Sidecar.ProbePrice, 0, 1},
@@ -158,6 +159,7 @@
 		{"drain", s.Drain.Std().Seconds(), 0, maxDuration.Seconds()},
 	}
 	outage := []bound{
+		{"notice", s.Notice.Std().Seconds(), 0, maxDuration.Seconds()},
 		{"gone", s.Gone.Std().Seconds(), 0.1, maxDuration.Seconds()},
 		{"back", s.Back.Std().Seconds(), 0.1, maxDuration.Seconds()},
 	}
--- a/internal/emulator/spec/spec.go
+++ b/internal/emulator/spec/spec.go
@@ -17,12 +17,13 @@
 
 // Fleet says how endpoints and sidecars spread.
 type Fleet struct {
-	Services        int      `toml:"services" json:"services"`
-	Regions         []string `toml:"regions" json:"regions"`
-	ZonesPerRegion  int      `toml:"zones_per_region" json:"zones_per_region"`
-	Kinds           []string `toml:"kinds" json:"kinds"` // of machines
-	CellSize        int      `toml:"cell_size" json:"cell_size"`
-	HollowPerWorker int      `toml:"hollow_per_worker" json:"hollow_per_worker"`
+	Services           int      `toml:"services" json:"services"`
+	Regions            []string `toml:"regions" json:"regions"`
+	ZonesPerRegion     int      `toml:"zones_per_region" json:"zones_per_region"`
+	Kinds              []string `toml:"kinds" json:"kinds"` // of machines
+	CellSize           int      `toml:"cell_size" json:"cell_size"`
+	HollowPerWorker    int      `toml:"hollow_per_worker" json:"hollow_per_worker"`
+	EndpointsPerWorker int      `toml:"endpoints_per_worker" json:"endpoints_per_worker"`
 }
 
 // Sidecar is what every sidecar is configured with.
@@ -120,9 +121,10 @@
 	Events      int     `toml:"events" json:"events,omitempty"`           // that are played
 	Burst       int     `toml:"burst" json:"burst,omitempty"`             // changes made at once after these
 
-	Drain Duration `toml:"drain" json:"drain,omitempty"` // from a planned restart's notice to the restart
-	Gone  Duration `toml:"gone" json:"gone,omitempty"`   // how long a zone is away
-	Back  Duration `toml:"back" json:"back,omitempty"`   // how long it is watched once it is back
+	Drain  Duration `toml:"drain" json:"drain,omitempty"`   // from a planned restart's notice to the restart
+	Notice Duration `toml:"notice" json:"notice,omitempty"` // from a zone's loss to discovery's word of it
+	Gone   Duration `toml:"gone" json:"gone,omitempty"`     // how long a zone is away
+	Back   Duration `toml:"back" json:"back,omitempty"`     // how long it is watched once it is back
 }
 
 // Interval is the time from one event to the next.
