Let a running balancer take up new settings in one step

Cause: settings were read once at the start; a change of a class, tenant, limit or price was in force never. Change: Balancer.Reconfigure. Requests hold the class that they began under, statistics are shared by name, and Request.Under names the settings that a request was read under where these have changed since. A class that turns stricter is so for every attempt not yet sent; copies that have not begun are withdrawn. Learned names classes.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -18,19 +18,19 @@
 	if b.requests[in.ID] != nil {
 		return
 	}
-	if int(in.Class) >= len(b.classes) {
-		b.out.Refuse(in.ID, 0) // nothing is known of it, but an answer is owed
+	r := b.newRequest(now, in)
+	if r == nil {
+		b.out.Refuse(in.ID, 0) // nothing is known of its class, but an answer is owed
 		return
 	}
-	r := b.newRequest(now, in)
 	b.stats.Requests++
 	b.demand.add(now, 1)
 	b.credit = min(budgetBurst, b.credit+retryShare)
 	b.copies = min(budgetBurst, b.copies+copyShare)
-	c := &b.classes[in.Class]
+	c := r.class
 	c.asked.add(now, 1)
-	if int(in.Tenant) < len(b.tenants) {
-		b.tenants[in.Tenant].add(now, 1)
+	if r.tenant != nil {
+		r.tenant.add(now, 1)
 	}
 	r.work = c.work.v
 	if r.hint = 0; in.HasHint && in.Hint > 0 {
@@ -75,7 +75,7 @@
 		// all of them look so: refused clients only come back sooner. As with the breaker, one
 		// passes now and then, so that a wrong guess does not feed itself: of so many, since a pass a second
 		// at each of a thousand balancers is more than a jammed fleet can bear.
-		c := &b.classes[r.Class]
+		c := r.class
 		c.since++
 		if !first || c.since < b.passOf || now-c.passed < forcedPass {
 			b.stats.TooLate++
@@ -105,7 +105,7 @@
 		// The request was swallowed: it has waited longer than its class should already.
 		share = 1
 	}
-	spare := float64(b.class(r).Aim) - float64(now-r.arrived) - alone
+	spare := float64(r.class.Aim) - float64(now-r.arrived) - alone
 	return min(alone+share*spare, float64(r.Deadline-now))
 }
 
@@ -113,23 +113,23 @@
 func (b *Balancer) value(now Micros, r *request) float64 {
 	var work, worth float64
 	worst := 1.0
-	for i := range b.classes {
-		c := &b.classes[i]
+	for _, c := range b.classes {
 		rate := c.asked.rate(now)
 		work += rate * c.work.v
-		worth += rate * b.worth(i)
+		worth += rate * b.worth(c)
 		worst = min(worst, c.good.or(1))
 	}
-	var top, own float64
-	for i := range b.classes {
-		c := &b.classes[i]
+	top, own := 0.0, -1.0 // of a class that is gone
+	for _, c := range b.classes {
 		part := c.asked.rate(now) * c.work.v / work
-		v := (b.s.Goal.Whole + windowGain*b.s.Goal.WorstWindow) * b.worth(i) / c.work.v * work / worth
+		v := (b.s.Goal.Whole + windowGain*b.s.Goal.WorstWindow) * b.worth(c) / c.work.v * work / worth
 		v += b.s.Goal.WorstClass / max(0.05, part) * math.Exp((worst-c.good.or(1))/0.1)
 		top = max(top, v)
-		own += v * share(i == int(r.Class))
+		if c.classStats == r.class.classStats {
+			own = v
+		}
 	}
-	if !(top > 0) {
+	if !(top > 0) || own < 0 {
 		return 1 // no worth was set
 	}
 	return own / top * b.shareWorth(now, r)
@@ -140,24 +140,25 @@
 // and refusals are known: the whole demand is taken to exceed the sum of the allowances as it exceeds what is
 // let in here. What lowers all alike ranks none: it must not refuse more, and so lower all again.
 func (b *Balancer) shareWorth(now Micros, r *request) float64 {
-	if int(r.Tenant) >= len(b.tenants) {
+	if r.tenant == nil {
 		return 1
 	}
-	var asked, allowed, top, own float64
-	for i := range b.tenants {
-		asked += b.tenants[i].rate(now)
-		allowed += b.s.Tenants[i].Allowance
+	var asked, allowed, top float64
+	own := b.s.OverShareWorth // a tenant that is gone has no share any more
+	for _, t := range b.tenants {
+		asked += t.rate(now)
+		allowed += t.Allowance
 	}
 	if allowed <= 0 {
 		return 1
 	}
-	for i := range b.tenants {
+	for _, t := range b.tenants {
 		inside := 1.0
-		if mine := b.tenants[i].rate(now); mine > 0 {
-			inside = min(1, b.s.Tenants[i].Allowance/allowed*asked/mine*(1-b.refused.v)*tenantSlack)
+		if mine := t.rate(now); mine > 0 {
+			inside = min(1, t.Allowance/allowed*asked/mine*(1-b.refused.v)*tenantSlack)
 			top = max(top, inside+(1-inside)*b.s.OverShareWorth)
 		}
-		if i == int(r.Tenant) {
+		if t.meter == r.tenant.meter {
 			own = inside + (1-inside)*b.s.OverShareWorth
 		}
 	}
@@ -167,6 +168,6 @@
 	return own / top
 }
 
-func (b *Balancer) worth(class int) float64 {
-	return b.s.Classes[class].Worth * (1 + (b.classes[class].work.v-1)*share(b.s.WorthByWork))
+func (b *Balancer) worth(c *class) float64 {
+	return c.Worth * (1 + (c.work.v-1)*share(b.s.WorthByWork))
 }
--- a/balancer/api.go
+++ b/balancer/api.go
@@ -112,8 +112,8 @@
 	Whole, WorstWindow, WorstClass, WorstTenant float64
 }
 
-// Settings is all that a balancer is told at its start. No decision reads
-// Position, Zones and Kinds.
+// Settings is all that a balancer is told at its start, and by Reconfigure. It does not change what it is given,
+// nor may its host. No decision reads Position, Zones and Kinds.
 type Settings struct {
 	Balancers int // in this tier, this one included
 	Position  int // of this one among them
@@ -238,9 +238,16 @@
 	HasHint  bool
 	Retry    bool // the client marked it as a repetition
 	Write    bool
-	Passing  bool // its body is passed on while it comes: Written tells its last byte
-	Tenant   uint16
-	Class    uint8
+	Passing  bool      // its body is passed on while it comes: Written tells its last byte
+	Tenant   uint16    // by its place in the settings
+	Class    uint8     // the same
+	Under    *Settings // those that it was read under; nil where they are in force
+}
+
+// AttemptID names an attempt of a request.
+type AttemptID struct {
+	Request uint64
+	Attempt int
 }
 
 // Status says how an attempt or a probe ended.
--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -57,7 +57,7 @@
 
 // allows draws the breaker's lot for a request; a refusal counts as a request.
 func (b *Balancer) allows(now Micros, r *request, e *endpoint) bool {
-	chance := max(e.br.errorChance(now), e.br.latencyChance(float64(b.class(r).GiveUp)))
+	chance := max(e.br.errorChance(now), e.br.latencyChance(float64(r.class.GiveUp)))
 	if chance > 0 && now-e.br.passed > forcedPass {
 		e.br.passed = now
 		return true
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -108,7 +108,7 @@
 	for range 1000 {
 		e.br.count(now, 0, 1)
 	}
-	r := &request{}
+	r := recordOf(b, Request{})
 	if !b.allows(now, r, e) {
 		t.Fatal("the first is passed by force")
 	}
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -104,3 +104,9 @@
 		}
 	}
 }
+
+// recordOf is the record of a request that the balancer has not been told of.
+func recordOf(b *Balancer, in Request) *request {
+	class, tenant := b.begunUnder(&in)
+	return &request{Request: in, class: class, repeat: class.Repeat, tenant: tenant}
+}
--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Learned is what a balancer has found out of the fleet. The next process of the same sidecar goes on from it: to
 // find it out again takes seconds, in which a first slow answer or two pass for what all endpoints are like.
@@ -9,11 +12,17 @@
 	Usual, UsualCold        float64
 	Chills                  int // answers that Chill is from
 	ReportsLate             bool
-	Works                   []float64 // by class
+	Works                   []LearnedWork
 	Ways                    []LearnedWay
 	Endpoints               []LearnedEndpoint
 }
 
+// LearnedWork is the mean work of a request of a class.
+type LearnedWork struct {
+	Class string
+	Work  float64
+}
+
 // LearnedWay is the way to a zone.
 type LearnedWay struct {
 	Zone    uint8
@@ -35,8 +44,8 @@
 func (b *Balancer) Learned() Learned {
 	l := Learned{Pace: b.fleet.v, Chill: b.chill.v, Waits: b.waits.v, Lag: b.lag.v,
 		Usual: b.usual.v, UsualCold: b.usualCold.v, Chills: b.chills, ReportsLate: b.reportsLate}
-	for i := range b.classes {
-		l.Works = append(l.Works, b.classes[i].work.v)
+	for _, c := range b.classes {
+		l.Works = append(l.Works, LearnedWork{c.Name, c.work.v})
 	}
 	for zone := range b.ways {
 		if w := &b.ways[zone]; w.n > 0 {
@@ -53,7 +62,8 @@
 
 // Learn goes on from what another process of this sidecar knew. It comes after Start and before any list.
 func (b *Balancer) Learn(l *Learned) {
-	if !sound(l.Pace) || len(l.Works) != len(b.classes) {
+	known := func(w LearnedWork) bool { return b.className(w.Class) != nil }
+	if !sound(l.Pace) || !slices.ContainsFunc(l.Works, known) {
 		return // of a process that knew nothing, or of other settings
 	}
 	b.fleet = ewma{l.Pace, true}
@@ -66,9 +76,9 @@
 	if sound(l.UsualCold) {
 		b.usualCold = mean{l.UsualCold, usualGuess}
 	}
-	for i, work := range l.Works {
-		if sound(work) {
-			b.classes[i].work.v = work
+	for _, w := range l.Works {
+		if c := b.className(w.Class); c != nil && sound(w.Work) {
+			c.work.v = w.Work
 		}
 	}
 	for _, known := range l.Ways {
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -64,9 +64,10 @@
 
 // What makes no sense, or is of other settings, changes nothing.
 func TestSenselessLearnedIsIgnored(t *testing.T) {
+	unknown := []LearnedWork{{"read", 0}}
 	for name, l := range map[string]Learned{
-		"nothing": {}, "other classes": {Pace: 2, Works: []float64{1}}, "no pace": {Pace: math.NaN(), Works: make([]float64, 5)},
-		"endless": {Pace: math.Inf(1), Works: make([]float64, 5)}, "no work": {Pace: 1, Works: make([]float64, 5), Chill: 9},
+		"nothing": {}, "other classes": {Pace: 2, Works: []LearnedWork{{"elsewhere", 1}}}, "no pace": {Pace: math.NaN(), Works: unknown},
+		"endless": {Pace: math.Inf(1), Works: unknown}, "no work": {Pace: 1, Works: unknown, Chill: 9},
 	} {
 		b, _ := start(t, testSettings(), ready(2))
 		work := b.classes[0].work.v
@@ -76,3 +77,20 @@
 		}
 	}
 }
+
+// The next process may know the classes in another order, and others beside them.
+func TestLearnedWorksGoByName(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(2))
+	for i, c := range b.classes {
+		c.work.v = float64(i + 1)
+	}
+	b.fleet.add(1, 1)
+	l := b.Learned()
+	s := testSettings()
+	s.Classes = []Class{{Name: "new", Aim: 500, GiveUp: second}, s.Classes[4], s.Classes[0]}
+	next, _ := start(t, s, ready(2))
+	next.Learn(&l)
+	if got := [...]float64{next.classes[0].work.v, next.classes[1].work.v, next.classes[2].work.v}; got != [...]float64{100, 5, 1} {
+		t.Errorf("works of new, write and read: %v, want 100, 5 and 1", got)
+	}
+}
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -3,12 +3,10 @@
 // The request ledger. Every send, refusal and failure leaves through send, refuse and fail: they alone keep
 // the rules, and no policy can get round them.
 
-func (b *Balancer) class(r *request) *Class { return &b.s.Classes[r.Class] }
-
 // end marks that the final answer is out; the record stays for late outcomes.
 func (b *Balancer) end(r *request) {
 	if !r.ended {
-		b.classes[r.Class].good.add(r.good, 0.02)
+		r.class.good.add(r.good, 0.02)
 		r.ended = true
 		b.release(r)
 		b.open--
@@ -33,8 +31,8 @@
 	if e.cold(now, b) && !b.coldRoom(now, e, r.work) {
 		return false
 	}
-	c, first := b.class(r), r.bound()
-	return first == nil || c.Repeat == Safe || c.Repeat == Keyed && now < b.latest(r, e) &&
+	c, first := r.class, r.bound()
+	return first == nil || r.repeat == Safe || r.repeat == Keyed && now < b.latest(r, e) &&
 		(c.Group == GroupAll || c.Group == GroupZone && e.Zone == first.zone ||
 			c.Group == GroupCell && e.Cell == first.cell)
 }
@@ -43,16 +41,33 @@
 // repeat has to arrive while its group still drops it, counted from when the first attempt was sent at the
 // earliest; what is decided in time may wait for a connection for longer than that.
 func (b *Balancer) latest(r *request, e *endpoint) Micros {
-	c, first := b.class(r), r.bound()
-	if first == nil || c.Repeat != Keyed {
+	first := r.bound()
+	if first == nil || r.repeat != Keyed {
 		return 0
 	}
-	return first.at + c.Window - Micros(b.ways[e.Zone].v)
+	return first.at + r.class.Window - Micros(b.ways[e.Zone].v)
 }
 
 func (b *Balancer) mayRefuse(r *request) bool {
-	c := b.class(r)
-	return c.Repeat == Safe || r.bound() == nil || c.Repeat == Keyed && c.Group == GroupAll
+	return r.repeat == Safe || r.bound() == nil || r.repeat == Keyed && r.class.Group == GroupAll
+}
+
+// restrict has the class in force hold for what is not sent yet of r, which in all else keeps the one that it
+// began under. Where that permitted more, r may lack the key by which endpoints drop a repeat: none may begin
+// any more. Of several attempts that may run, those that have not begun are withdrawn.
+func (b *Balancer) restrict(r *request) (withdrawn []AttemptID) {
+	if c := b.className(r.class.Name); c != nil && c.Repeat > r.repeat {
+		r.repeat = Unsafe
+	}
+	if r.repeat != Unsafe || r.mayRun() < 2 {
+		return nil
+	}
+	for i := range r.attempts {
+		if r.attempts[i].out {
+			withdrawn = append(withdrawn, AttemptID{r.ID, i})
+		}
+	}
+	return withdrawn
 }
 
 // send starts an attempt if the rules allow it.
@@ -72,7 +87,7 @@
 	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, cold: cold, expected: b.predict(now, e, r.work),
 		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), factor: r.work * b.crowding(e),
 		out: true, mayRun: true, written: !r.Passing}
-	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
+	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(r.class.Aim)))
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if e.sentAt = now; r.Passing {
@@ -101,7 +116,7 @@
 	var after Micros
 	if b.s.Limits.RetryAfter {
 		// Spread the returns, and let them come while an answer is still wanted.
-		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).Aim))
+		after = Micros((0.1 + 0.2*b.rng.float()) * float64(r.class.Aim))
 		after = min(after, b.s.Limits.MaxRetryAfter)
 	}
 	b.stats.Refused++
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -4,7 +4,8 @@
 // instant, and the balancer calls Actions. It does no I/O and has no clock of its own.
 //
 // The decisions stand in ledger.go, membership.go, slowstart.go, probing.go, prediction.go, pick.go, breaker.go,
-// admission.go and retries.go; settings, events and actions in api.go, records in state.go, counts in stats.go.
+// admission.go and retries.go; settings, events and actions in api.go, records in state.go, new settings in
+// reconfigure.go, counts in stats.go.
 package balancer
 
 const second Micros = 1_000_000
@@ -23,14 +24,11 @@
 		return nil, err
 	}
 	b := &Balancer{
-		s: s, out: out, rng: source(seed),
+		out: out, rng: source(seed),
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, cordoned: map[uint64]bool{},
-		logged:  map[string]Micros{},
-		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
-	}
-	for i := range b.classes {
-		b.classes[i].work = ewma{v: float64(s.Classes[i].Aim) / 5, seen: true}
+		logged: map[string]Micros{},
 	}
+	b.settle(s)
 	return b, nil
 }
 
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -27,13 +27,13 @@
 
 // cost ranks endpoints: predicted latency, and as time a zone crossing's price and a likely failure.
 func (b *Balancer) cost(now Micros, r *request, e *endpoint) float64 {
-	aim := float64(b.class(r).Aim)
+	aim := float64(r.class.Aim)
 	expected := b.predict(now, e, r.work)
 	// One that answers in time goes first, if far or failing. One that only turns some away goes ahead of one
 	// that is too late: nothing of what it turns away has run, and what it takes in is answered.
 	ejected := e.ejected(now) && e.turned.v < turnsMost
 	c := expected + (e.failing(now)+share(ejected)+share(expected > b.room(now, r, e)))*aim
-	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(e)
+	c += othersWeight * r.class.work.v * e.paceNow(now, b) * b.load(e)
 	return c + zoneWeight*b.s.Prices.CrossZone*aim*share(int(e.Zone) != b.s.Zone)
 }
 
@@ -120,7 +120,7 @@
 // pick returns the pooled endpoint of the least cost for r, leaving out those it must not or should not go
 // to; without fresh answers, the better of two random draws.
 func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
-	fresh := b.freshFor(now, b.class(r).Aim)
+	fresh := b.freshFor(now, r.class.Aim)
 	b.earn(now, r.work)
 	var best *endpoint
 	var least float64
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -184,12 +184,12 @@
 			b.tenants[1].add(i*1000, 1)
 		}
 	}
-	over, within := &request{Request: Request{Tenant: 0}}, &request{Request: Request{Tenant: 1}}
+	over, within := recordOf(b, Request{Tenant: 0}), recordOf(b, Request{Tenant: 1})
 	b.refused.v = 0.5
 	if o, w := b.shareWorth(100_000, over), b.shareWorth(100_000, within); w != 1 || o > 0.6 {
 		t.Errorf("weights %v over, %v within the share", o, w)
 	}
-	if got := b.shareWorth(100_000, &request{Request: Request{Tenant: 9}}); got != 1 {
+	if got := b.shareWorth(100_000, recordOf(b, Request{Tenant: 9})); got != 1 {
 		t.Errorf("unknown tenant: %v", got)
 	}
 }
@@ -204,7 +204,7 @@
 	b.tenants[1].add(0, 40)
 	b.refused.v = 0.8
 	for tenant := range uint16(2) {
-		if got := b.shareWorth(0, &request{Request: Request{Tenant: tenant}}); got < 0.99 {
+		if got := b.shareWorth(0, recordOf(b, Request{Tenant: tenant})); got < 0.99 {
 			t.Errorf("tenant %d, within its share of the mix, weighs %.2f while most is refused", tenant, got)
 		}
 	}
@@ -231,7 +231,8 @@
 func TestLateReportsAreAveragedByEndpoint(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(2))
 	b.classes[0].asked.add(0, 1)
-	r := &request{Request: request0(1, 0, 0), work: 50_000}
+	r := recordOf(b, request0(1, 0, 0))
+	r.work = 50_000
 	before := b.room(0, r, b.list[0])
 	b.reportsLate = true
 	for i := range 20 {
@@ -605,7 +606,7 @@
 		}
 		b, _ := start(t, testSettings(), list)
 		for range 50 {
-			if e := b.draw(1000, &request{Request: request0(1, 0, 1000)}, nil, 0); (e == nil) != (n == 0) {
+			if e := b.draw(1000, recordOf(b, request0(1, 0, 1000)), nil, 0); (e == nil) != (n == 0) {
 				t.Fatalf("%d endpoints: drew %v", n, e)
 			}
 		}
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -78,7 +78,7 @@
 	}
 	if !r.HasHint {
 		// Without hints a class's work is its mean latency on an endpoint without a queue.
-		b.classes[r.Class].work.add(x*r.work, workWeight)
+		r.class.work.add(x*r.work, workWeight)
 	}
 	if !e.isCold {
 		b.fleet.add(x, fleetWeight)
--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -28,10 +28,11 @@
 	settleTrips = 5.0         // round trips after which a send has surely arrived
 )
 
-// firstProbe begins the probe rounds.
+// firstProbe begins the probe rounds, unless they run.
 func (b *Balancer) firstProbe() {
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
-	if b.s.Limits.Probes {
+	if b.s.Limits.Probes && !b.rounds {
+		b.rounds = true
 		b.out.Timer(1+b.rng.below(probeGap), tokenProbe)
 	}
 }
@@ -50,7 +51,7 @@
 	if !asking || b.rng.float() > max(firstTries, 2-2*b.refused.v) {
 		return false
 	}
-	wait := min(holdPart*float64(b.class(r).Aim), float64(r.Deadline-now)/4)
+	wait := min(holdPart*float64(r.class.Aim), float64(r.Deadline-now)/4)
 	for i := range int(b.asks) {
 		// One of its own zone, and others whose answer can come in time: from afar it would come too late,
 		// and an endpoint heard of so late would serve late. While much is refused, a way out is looked for.
@@ -107,6 +108,10 @@
 
 // probeRound probes a few random ready endpoints and arms the next round.
 func (b *Balancer) probeRound(now Micros) {
+	if b.rounds = b.s.Limits.Probes; !b.rounds {
+		b.sparse = false
+		return
+	}
 	rate := b.probeRate(now)
 	// Where a turn of the fleet takes too long for a fresh pool, and own in-flight tells little, probes go with
 	// requests instead: a pool of old answers sends everyone to endpoints that were quiet long ago.
--- /dev/null
+++ b/balancer/reconfigure.go
@@ -0,0 +1,102 @@
+package balancer
+
+// Reconfigure takes up new settings in one step, or returns a *SettingError and changes nothing. What is known of
+// classes and tenants stays with their names; endpoints, and what is known of them, stay as they are. A request in
+// hand keeps the class that it began under, but for what that may no longer do: the host has to withdraw the
+// attempts that are returned, unless their first byte is out.
+func (b *Balancer) Reconfigure(s Settings) ([]AttemptID, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	b.settle(s)
+	b.firstProbe()
+	var withdrawn []AttemptID
+	for _, r := range b.slots {
+		if b.requests[r.ID] == r && !r.ended {
+			withdrawn = append(withdrawn, b.restrict(r)...)
+		}
+	}
+	return withdrawn, nil
+}
+
+// settle puts settings in force.
+func (b *Balancer) settle(s Settings) {
+	classes := make([]*class, len(s.Classes))
+	for i, definition := range s.Classes {
+		classes[i] = b.classOf(definition)
+	}
+	tenants := make([]*tenant, len(s.Tenants))
+	for i, definition := range s.Tenants {
+		tenants[i] = &tenant{definition, &meter{}}
+	}
+	known := make(map[string]*meter, len(b.tenants))
+	for _, t := range b.tenants {
+		known[t.Name] = t.meter
+	}
+	for _, t := range tenants {
+		if taken, ok := known[t.Name]; ok {
+			t.meter = taken
+		}
+	}
+	b.s, b.classes, b.tenants = s, classes, tenants
+}
+
+// className returns the class in force of this name, or nil.
+func (b *Balancer) className(name string) *class {
+	for _, c := range b.classes {
+		if c.Name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// classOf returns a class as defined, with what is known of the one of its name.
+func (b *Balancer) classOf(definition Class) *class {
+	inForce := b.className(definition.Name)
+	switch {
+	case inForce == nil:
+		work := ewma{v: float64(definition.Aim) / 5, seen: true}
+		return &class{definition, &classStats{work: work}}
+	case inForce.Class == definition:
+		return inForce
+	}
+	return &class{definition, inForce.classStats}
+}
+
+// begunUnder returns the class and the tenant that a request names; no class where there is none at its place.
+func (b *Balancer) begunUnder(in *Request) (*class, *tenant) {
+	s := in.Under
+	if s == nil {
+		s = &b.s
+	}
+	if int(in.Class) >= len(s.Classes) {
+		return nil, nil
+	}
+	if in.Under == nil {
+		return b.classes[in.Class], b.tenantAt(int(in.Tenant))
+	}
+	var owner *tenant
+	if int(in.Tenant) < len(s.Tenants) {
+		owner = b.tenantName(s.Tenants[in.Tenant].Name)
+	}
+	return b.classOf(s.Classes[in.Class]), owner
+}
+
+// tenantAt returns the tenant at a place in the settings in force, or nil.
+func (b *Balancer) tenantAt(place int) *tenant {
+	if place >= len(b.tenants) {
+		return nil
+	}
+	return b.tenants[place]
+}
+
+// tenantName returns the tenant in force of this name, or nil.
+func (b *Balancer) tenantName(name string) *tenant {
+	for _, t := range b.tenants {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/balancer/reconfigure_test.go
@@ -0,0 +1,228 @@
+package balancer
+
+import (
+	"slices"
+	"testing"
+)
+
+// reconfigure puts changed settings in force.
+func reconfigure(t *testing.T, b *Balancer, change func(*Settings)) []AttemptID {
+	t.Helper()
+	next := b.s
+	next.Classes, next.Tenants = slices.Clone(b.s.Classes), slices.Clone(b.s.Tenants)
+	change(&next)
+	withdrawn, err := b.Reconfigure(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return withdrawn
+}
+
+// What was learned of classes and tenants stays with their names, wherever they stand in the new list; what is
+// new begins without, and settings that make no sense change nothing.
+func TestReconfigureKeepsWhatWasLearnedByName(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Name: "a", Allowance: 50}, {Name: "b", Allowance: 50}}
+	b, _ := start(t, s, ready(2))
+	b.className("read").work.v, b.className("write").work.v = 11, 22
+	b.tenantName("a").add(0, 30)
+	b.tenantName("b").add(0, 60)
+	rateA, rateB := b.tenantName("a").rate(0), b.tenantName("b").rate(0)
+	reconfigure(t, b, func(s *Settings) {
+		slices.Reverse(s.Classes)
+		s.Classes = append(s.Classes, Class{Name: "new", Aim: 500, GiveUp: second})
+		s.Classes[0].Aim = 300_000
+		s.Tenants = []Tenant{{Name: "c", Allowance: 5}, {Name: "b", Allowance: 40}, {Name: "a", Allowance: 60}}
+	})
+	if c := b.classes[0]; c.Name != "write" || c.work.v != 22 || c.Aim != 300_000 {
+		t.Errorf("the first class is now %+v with work %v", c.Class, c.work.v)
+	}
+	if read, fresh := b.classes[4], b.classes[5]; read.Name != "read" || read.work.v != 11 || fresh.work.v != 100 {
+		t.Errorf("read %v has work %v, the new class %v", read.Name, read.work.v, fresh.work.v)
+	}
+	if a, c := b.tenants[2], b.tenants[0]; a.rate(0) != rateA || a.Allowance != 60 || c.rate(0) != 0 || b.tenants[1].rate(0) != rateB {
+		t.Errorf("tenants a, b, c have rates %v, %v, %v", a.rate(0), b.tenants[1].rate(0), c.rate(0))
+	}
+	bad := b.s
+	bad.Limits.MaxOpen = 0
+	if _, err := b.Reconfigure(bad); err == nil || b.s.Limits.MaxOpen == 0 {
+		t.Errorf("senseless settings: error %v, limit %d", err, b.s.Limits.MaxOpen)
+	}
+}
+
+// A request keeps the class that it began under, with its window and group, while the list is turned round, the
+// class changes, or is gone.
+func TestRequestKeepsItsClass(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"reordered": func(s *Settings) { slices.Reverse(s.Classes) },
+		"gone":      func(s *Settings) { s.Classes = s.Classes[:1] },
+		"changed":   func(s *Settings) { s.Classes[3].Window, s.Classes[3].Group = 1, GroupAll },
+		"safe":      func(s *Settings) { s.Classes[3].Repeat = Safe },
+	} {
+		b, r := start(t, testSettings(), ready(8))
+		b.Request(1000, request0(1, 3, 1000)) // keyed-cell
+		first := r.sends[0]
+		if withdrawn := reconfigure(t, b, change); len(withdrawn) > 0 {
+			t.Errorf("%s: %v withdrawn", name, withdrawn)
+		}
+		b.Outcome(2000, Outcome{ID: 1, Endpoint: first.endpoint, Status: Reset, Latency: 1000})
+		if len(r.sends) != 2 || (r.sends[1].endpoint-1)/2 != (first.endpoint-1)/2 {
+			t.Errorf("%s: sent to %v, want a repeat within the cell", name, r.sends)
+			continue
+		}
+		if latest := r.latest[1]; latest > 1000+500_000 || latest < 1000+400_000 {
+			t.Errorf("%s: the repeat may begin until %d, want by the window that it began under", name, latest)
+		}
+		good := b.requests[1].class
+		b.Outcome(3000, Outcome{ID: 1, Attempt: 1, Endpoint: r.sends[1].endpoint, Status: OK, Latency: 1000, Settled: true})
+		if len(b.requests) != 0 || good.good.v != 1 || good.Name != "keyed-cell" {
+			t.Errorf("%s: %d requests left; answered in time: %v of %s", name, len(b.requests), good.good.v, good.Name)
+		}
+	}
+}
+
+// A class that turns stricter is so for every attempt that is not sent yet: none follows one that may have run,
+// and the answer promises nothing.
+func TestClassTurnsUnsafe(t *testing.T) {
+	turn := func(to Repeat) func(*Settings) { return func(s *Settings) { s.Classes[0].Repeat = to } }
+	for name, c := range map[string]struct {
+		changes []func(*Settings)
+		repeats int
+	}{
+		"unsafe":            {[]func(*Settings){turn(Unsafe)}, 0},
+		"keyed":             {[]func(*Settings){turn(Keyed)}, 0}, // it came without a key
+		"unsafe and back":   {[]func(*Settings){turn(Unsafe), turn(Safe)}, 0},
+		"gone, then unsafe": {[]func(*Settings){func(s *Settings) { s.Classes[0].Name = "x" }, func(s *Settings) { s.Classes[0].Name, s.Classes[0].Repeat = "read", Unsafe }}, 0},
+		"as it was":         {[]func(*Settings){turn(Safe)}, 1},
+	} {
+		b, r := start(t, testSettings(), ready(4))
+		b.Request(1000, request0(1, 0, 1000))
+		for _, change := range c.changes {
+			reconfigure(t, b, change)
+		}
+		b.Outcome(2000, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: Reset, Latency: 1000})
+		if got := len(r.sends) - 1; got != c.repeats {
+			t.Errorf("%s: %d repeats, want %d", name, got, c.repeats)
+		}
+		if c.repeats == 0 && (len(r.failed) != 1 || len(r.refused) != 0) {
+			t.Errorf("%s: failed %v, refused %v; a refusal would promise that a retry is harmless", name, r.failed, r.refused)
+		}
+	}
+	// One that never ran is followed by another all the same.
+	b, r := start(t, testSettings(), ready(4))
+	b.Request(1000, request0(1, 0, 1000))
+	reconfigure(t, b, turn(Unsafe))
+	b.Outcome(2000, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: Full, Latency: 1000})
+	if len(r.sends) != 2 {
+		t.Errorf("%d sends after one that never ran, want 2", len(r.sends))
+	}
+}
+
+// Of several attempts of a request that may run, a class that turns unsafe withdraws those that are out; a single
+// one goes on.
+func TestUnsafeClassWithdrawsCopies(t *testing.T) {
+	b, r := start(t, testSettings(), ready(4))
+	b.Request(1000, request0(1, 0, 1000))
+	b.Request(1000, request0(2, 0, 1000))
+	b.Outcome(2000, Outcome{ID: 2, Endpoint: r.sends[1].endpoint, Status: Reset, Latency: 1000})
+	if len(r.sends) != 3 {
+		t.Fatalf("sends %v, want a repeat of the second request", r.sends)
+	}
+	unsafe := func(s *Settings) { s.Classes[0].Repeat = Unsafe }
+	if got := reconfigure(t, b, unsafe); !slices.Equal(got, []AttemptID{{2, 1}}) {
+		t.Errorf("withdrawn %v, want the repeat of the second request", got)
+	}
+	b.Outcome(3000, Outcome{ID: 2, Attempt: 1, Endpoint: r.sends[2].endpoint, Status: Moot})
+	if !slices.Equal(r.failed, []uint64{2}) || len(r.sends) != 3 {
+		t.Errorf("failed %v after sends %v, want the second request failed", r.failed, r.sends)
+	}
+}
+
+// A request that was read under earlier settings is taken by their names: by its own class, also where that is
+// gone, and under the stricter rule where it has turned.
+func TestRequestReadUnderEarlierSettings(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Name: "a", Allowance: 50}, {Name: "b", Allowance: 50}}
+	b, r := start(t, s, ready(4))
+	reconfigure(t, b, func(s *Settings) {
+		s.Classes = []Class{s.Classes[4], s.Classes[0]}
+		s.Classes[1].Repeat = Unsafe
+		s.Tenants = []Tenant{s.Tenants[1]}
+	})
+	for id, c := range []struct {
+		class  uint8
+		tenant uint16
+		name   string
+		repeat Repeat
+		owner  *tenant
+	}{{0, 0, "read", Unsafe, nil}, {1, 1, "keyed-all", Keyed, b.tenants[0]}, {4, 9, "write", Unsafe, nil}} {
+		in := request0(uint64(id+1), c.class, 1000)
+		in.Tenant, in.Under = c.tenant, &s
+		b.Request(1000, in)
+		got := b.requests[in.ID]
+		if got == nil || got.class.Name != c.name || got.repeat != c.repeat || got.tenant != c.owner || got.Under != nil {
+			t.Errorf("request %d is taken as %+v, want class %s", in.ID, got, c.name)
+		}
+	}
+	in := request0(9, 7, 1000)
+	in.Under = &s
+	if b.Request(1000, in); !slices.Equal(r.refused, []uint64{9}) || len(r.sends) != 3 {
+		t.Errorf("refused %v, sends %v; want a class that never was refused", r.refused, r.sends)
+	}
+}
+
+// New limits and prices hold for what comes from then on. Probe rounds that a change stops and another starts run
+// once, not twice.
+func TestReconfiguredLimits(t *testing.T) {
+	b, r := start(t, testSettings(), ready(4))
+	b.Request(1000, request0(1, 0, 1000))
+	b.Request(1000, request0(2, 0, 1000))
+	reconfigure(t, b, func(s *Settings) { s.Limits.MaxOpen, s.Prices.Probe = 2, 0.01 })
+	b.Request(2000, request0(3, 0, 2000))
+	if !slices.Equal(r.refused, []uint64{3}) || b.open != 2 || b.asks != 2 {
+		t.Errorf("refused %v with %d open, %v probes a request", r.refused, b.open, b.asks)
+	}
+	rounds := func() (n int) {
+		for _, token := range r.timers {
+			n += int(share(token == tokenProbe))
+		}
+		return n
+	}
+	probes := func(on bool) { reconfigure(t, b, func(s *Settings) { s.Limits.Probes = on }) }
+	armed := rounds()
+	probes(false)
+	probes(true)
+	if rounds() != armed {
+		t.Error("a second chain of probe rounds is begun beside the first")
+	}
+	probes(false)
+	asked := len(r.probes)
+	if b.Timer(second, tokenProbe); rounds() != armed || len(r.probes) != asked {
+		t.Error("probe rounds go on without the right to probe")
+	}
+	if probes(true); rounds() != armed+1 {
+		t.Error("probe rounds do not begin with the right to probe")
+	}
+}
+
+// Many changes leave nothing behind: a record of a request that waits to be used again holds one class at most.
+func TestReconfigureKeepsNoOldSettings(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(4))
+	for i := range 1000 {
+		now := Micros(i) * 1000
+		reconfigure(t, b, func(s *Settings) {
+			s.Classes[0].Name = string(rune('a' + i%26))
+			s.Tenants = []Tenant{{Name: string(rune('a' + i%26)), Allowance: 1}}
+		})
+		b.Request(now, request0(uint64(i), 0, now))
+		b.ClientGone(now, uint64(i))
+		for _, a := range b.slots {
+			for n := range a.attempts {
+				b.Outcome(now, Outcome{ID: a.ID, Attempt: n, Status: Cancelled, Settled: true})
+			}
+		}
+	}
+	if len(b.classes) != 5 || len(b.tenants) != 1 || len(b.requests) != 0 || len(b.slots) > 2 {
+		t.Errorf("%d classes, %d tenants, %d requests, %d records", len(b.classes), len(b.tenants), len(b.requests), len(b.slots))
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -33,14 +33,15 @@
 	largest  float64                    // share of any listed endpoint
 	asks     float64                    // probes that go with a request, while sparse
 	sparse   bool                       // probes are asked for single requests
+	rounds   bool                       // probe rounds run
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
 	askedAt    Micros // the latest one
 	askWait    Micros
 
-	classes  []classStats
-	tenants  []meter  // requests taken, by tenant
+	classes  []*class // in the order of the settings
+	tenants  []*tenant
 	ways     [256]way // to each zone
 	fleet    ewma     // pace of the whole fleet
 	demand   meter    // requests taken
@@ -64,6 +65,19 @@
 	stats  Stats
 }
 
+// class is a class with what is known of it. A changed definition makes another one, which shares the
+// statistics with that of the same name before it.
+type class struct {
+	Class
+	*classStats
+}
+
+// tenant is a tenant with its rate of requests taken.
+type tenant struct {
+	Tenant
+	*meter
+}
+
 // classStats is what a balancer knows of a class.
 type classStats struct {
 	work   ewma   // mean work of a request
@@ -76,7 +90,10 @@
 // request is the ledger's record of a request and its attempts.
 type request struct {
 	Request
-	token    uint32 // of its timers
+	class    *class  // that it began under, whatever has become of it since
+	repeat   Repeat  // what a second run would do: as the class has it, or Unsafe
+	tenant   *tenant // nil where there is none
+	token    uint32  // of its timers
 	arrived  Micros
 	work     float64
 	value    float64 // of its class and tenant, 0 to 1, when last decided
@@ -286,7 +303,12 @@
 	return -1
 }
 
+// newRequest returns the record of a request, or nil if its class is not known.
 func (b *Balancer) newRequest(now Micros, in Request) *request {
+	c, t := b.begunUnder(&in)
+	if c == nil {
+		return nil
+	}
 	var r *request
 	if n := len(b.free); n > 0 {
 		r, b.free = b.free[n-1], b.free[:n-1]
@@ -296,8 +318,14 @@
 	}
 	// The high bits count uses of the slot, so that an old timer finds nothing.
 	r.token += 1 << slotBits
+	changed := in.Under != nil
+	in.Under = nil // or a record that waits to be used again would keep old settings
+	r.class, r.repeat, r.tenant = c, c.Repeat, t
 	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
 	r.good, r.pass, r.held, r.spent, r.awaits = 0, false, false, false, r.awaits[:0]
+	if changed {
+		b.restrict(r)
+	}
 	b.requests[in.ID] = r
 	b.open++
 	return r
@@ -311,6 +339,14 @@
 	return nil
 }
 
+// mayRun counts the attempts that may have run, or may yet.
+func (r *request) mayRun() (n int) {
+	for i := range r.attempts {
+		n += int(share(r.attempts[i].mayRun))
+	}
+	return n
+}
+
 // waits says whether r has an attempt out that is to be waited for: any, or where second copies may be sent,
 // one that is not late.
 func (r *request) waits(copies bool) bool {
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -18,7 +18,7 @@
 	if l := m.load(); l != nil {
 		t.Errorf("without a file: %+v", l)
 	}
-	m.keep(balancer.Learned{Pace: 1.5, Works: []float64{2}})
+	m.keep(balancer.Learned{Pace: 1.5, Works: []balancer.LearnedWork{{Class: "read", Work: 2}}})
 	await(t, "the file", func() bool { return m.load() != nil })
 	if l := m.load(); l.Pace != 1.5 || len(l.Works) != 1 {
 		t.Errorf("loaded %+v", l)
