--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -36,16 +36,5 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
-	reloads := make(chan *sidecar.Config)
-	go func() {
-		for range hangup {
-			next, err := sidecar.LoadConfig(path)
-			if err != nil {
-				log.Error("configuration not reloaded, the old one holds", "error", err)
-				continue
-			}
-			reloads <- next
-		}
-	}()
-	return sidecar.Run(ctx, cfg, reloads, log)
+	return sidecar.Run(ctx, cfg, sidecar.Rereads(path, hangup), log)
 }
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -143,7 +143,7 @@
 	}
 	replace("{")
 	signal(syscall.SIGHUP)
-	await(t, "the bad file's line", func() bool { return log.count("old one holds") == 1 })
+	await(t, "the bad file's line", func() bool { return log.count("configuration not reloaded") == 1 })
 	registry := make(chan string, 100)
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		registry <- r.URL.String()
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -46,9 +46,8 @@
 func (r *refusal) Error() string { return r.reason }
 
 func newAdmin(s *server) *admin {
-	cfg := s.loop.cfg
-	a := &admin{server: s, store: &store{dir: os.TempDir(), sidecar: cfg.Name, log: s.loop.log,
-		keep: time.Duration(cfg.Settings.Contract.RampTime) * time.Microsecond, hold: s.hold}}
+	a := &admin{server: s, store: &store{dir: os.TempDir(), sidecar: s.loop.current.Load().Name, log: s.loop.log,
+		keep: s.loop.rampTime, hold: s.hold}}
 	a.calls = map[string]call{
 		"/admin/health":   {http.MethodGet, a.health},
 		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -19,7 +19,8 @@
 	"peatpost/internal/wire"
 )
 
-// Config is what a sidecar is told at its start. Make one with LoadConfig.
+// Config is what a sidecar is told at its start, and anew while it runs. Make one with LoadConfig. It does not
+// change once it is made.
 type Config struct {
 	Name      string
 	Listen    string
@@ -38,6 +39,8 @@
 
 	wait time.Duration                                                        // that a call of discovery waits for news; 0: by the settings
 	dial func(ctx context.Context, network, address string) (net.Conn, error) // discovery; nil: by the network
+
+	fault error // why it could not be read; nil where it could
 }
 
 // Limits is what the platform grants a sidecar.
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := parseConfig(data)
+	cfg, err := ParseConfig(data)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -82,17 +85,21 @@
 	return nil
 }
 
-func parseConfig(data []byte) (*Config, error) {
-	var file struct {
-		Name      string          `json:"name"`
-		Listen    string          `json:"listen"`
-		Discovery string          `json:"discovery"`
-		Admin     string          `json:"admin_addr"`
-		Seed      string          `json:"seed"`
-		Limits    Limits          `json:"limits"`
-		Known     json.RawMessage `json:"known"`
-		Settings  json.RawMessage `json:"settings"`
-	}
+// configFile is the text of a configuration file.
+type configFile struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Admin     string          `json:"admin_addr"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// ParseConfig reads the text of a configuration file. Its errors name the key at fault.
+func ParseConfig(data []byte) (*Config, error) {
+	var file configFile
 	if err := json.Unmarshal(data, &file); err != nil {
 		return nil, err
 	}
@@ -145,6 +152,9 @@
 	if err := c.Settings.Validate(); err != nil {
 		return err
 	}
+	if err := c.checkNames(); err != nil {
+		return err
+	}
 	var own struct {
 		Areas  []string `json:"areas"`
 		Skus   []string `json:"skus"`
@@ -169,6 +179,26 @@
 	return nil
 }
 
+// checkNames sees to it that no two classes and no two tenants have one name: requests name them by it, and so
+// does what was learned of them.
+func (c *Config) checkNames() error {
+	classes := map[string]bool{}
+	for i, class := range c.Settings.Classes {
+		if classes[class.Name] {
+			return fmt.Errorf("classes.%d.name: %q is there twice", i, class.Name)
+		}
+		classes[class.Name] = true
+	}
+	tenants := map[string]bool{}
+	for i, tenant := range c.Settings.Tenants {
+		if tenants[tenant.Name] {
+			return fmt.Errorf("tenants.%d.name: %q is there twice", i, tenant.Name)
+		}
+		tenants[tenant.Name] = true
+	}
+	return nil
+}
+
 // flatten writes a JSON value as the path=value lines of the simulator's first
 // message: lists of objects by their length and index, other lists by commas.
 func flatten(out *strings.Builder, path string, value any) {
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -15,7 +15,7 @@
 		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},` +
 		`"known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","health":"Ready"}]},` +
 		`"settings":` + settingsText + `}`
-	if cfg, err := parseConfig([]byte(good)); err != nil {
+	if cfg, err := ParseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	} else if cfg.Settings.Limits.MaxRetryAfter != 1_500_000 || len(cfg.Settings.Classes) != 4 ||
 		cfg.Settings.Classes[1].Repeat != balancer.Keyed || len(cfg.Settings.Fields) != 2 || !cfg.Settings.Subscribe {
@@ -47,7 +47,7 @@
 		if bad == good {
 			t.Fatalf("%q is not in the configuration", c.old)
 		}
-		_, err := parseConfig([]byte(bad))
+		_, err := ParseConfig([]byte(bad))
 		if err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v, want one line with %q", c.new, err, c.key)
 		}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -260,21 +260,29 @@
 	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
 	w.until("the request in hand", func() bool { n, _ := e.seen(); return n == 1 })
 
-	moved := newDirectory(t, ready("s-2", second.address))
-	next := *w.loop.cfg
-	next.Discovery = moved.address
+	old := w.dir
 	for range 2 { // it may come again
+		moved := newDirectory(t, ready("s-2", second.address))
+		next := *w.loop.cfg
+		next.Discovery = moved.address
 		lists := w.spy.count(balancer.ListFull)
 		w.do(func() { w.loop.reload(&next) })
 		w.until("the new list", func() bool { return w.spy.count(balancer.ListFull) > lists })
+		moved.mu.Lock()
+		if first := moved.calls[0]; first != "" {
+			t.Errorf("the first call asked for %q, want the whole list", first)
+		}
+		moved.mu.Unlock()
+		w.until("the new watch", func() bool { return moved.count() == 2 })
+		w.until("the end of the old client's connections", func() bool { return old.conns.Load() == 0 })
+		old = moved
+		w.do(func() {
+			watch := w.loop.disc
+			if w.loop.reload(&next); w.loop.disc != watch {
+				t.Error("a configuration that is in force already begins a new watch")
+			}
+		})
 	}
-	moved.mu.Lock()
-	if first := moved.calls[0]; first != "" {
-		t.Errorf("the first call asked for %q, want the whole list", first)
-	}
-	moved.mu.Unlock()
-	w.until("the new watch", func() bool { return moved.count() >= 3 })
-	w.until("the end of the old client's connections", func() bool { return w.dir.conns.Load() == 0 })
 	if got := w.send(w.request("read", "", time.Minute)); got.code != http.StatusOK {
 		t.Errorf("through the new list: %+v", got)
 	}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -101,7 +101,22 @@
 
 // share limits this process to one of n equal parts of the sidecar's limits.
 func (s *server) share(n int) {
-	cfg := s.loop.cfg
+	s.limits.Lock()
+	defer s.limits.Unlock()
+	s.processes = n
+	s.limit()
+}
+
+// relimit has limits that have changed hold.
+func (s *server) relimit() {
+	s.limits.Lock()
+	defer s.limits.Unlock()
+	s.limit()
+}
+
+// limit sets this process's part of the limits. It holds s.limits.
+func (s *server) limit() {
+	cfg, n := s.loop.current.Load(), s.processes
 	most := max(leastConnections, (cfg.Limits.Sockets/n-socketSpare)/2)
 	s.clients.limit(most, cfg.Limits.Sockets/crowdPart/n)
 	s.loop.up.limit(most)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -42,6 +42,7 @@
 	Outcome(now balancer.Micros, o balancer.Outcome)
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
+	Reconfigure(s balancer.Settings) ([]balancer.AttemptID, error)
 	Learned() balancer.Learned
 	Learn(l *balancer.Learned)
 	Cordon(now balancer.Micros, name uint64, out bool, since balancer.Micros)
@@ -53,7 +54,6 @@
 // its Actions. It never waits for the network; what it starts reports back
 // through events.
 type loop struct {
-	cfg    *Config
 	log    *slog.Logger
 	clock  clock
 	up     *upstream
@@ -63,7 +63,12 @@
 	ctx    context.Context                // ends with the loop
 	listed atomic.Bool                    // endpoints are known
 
+	current atomic.Pointer[snapshot] // the configuration in force
+	relimit func()                   // has its limits hold when they have changed; may be nil
+
 	// Below: the loop's goroutine alone.
+	cfg       *Config // that of current
+	refused   int     // configurations that were not taken
 	balancer  decider
 	requests  map[uint64]*request
 	lastID    uint64
@@ -138,13 +143,14 @@
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
 	l := &loop{
-		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
+		log: log, clock: clock{time.Now()}, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg), newBudget(cfg)), disc: newDiscovery(cfg),
 		events:   make(chan func(balancer.Micros), eventsMost),
 		urgent:   make(chan func(balancer.Micros), urgentMost),
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{}, marks: map[string]mark{},
 		stopWatch: func() {},
 	}
+	l.enforce(newSnapshot(cfg))
 	var err error
 	l.balancer, err = balancer.New(cfg.Settings, cfg.Seed, l)
 	return l, err
@@ -154,6 +160,7 @@
 func (l *loop) run() {
 	now := l.clock.now()
 	l.heard = now
+	l.logConfiguration(nil, nil)
 	l.balancer.Start(now)
 	if l.learned != nil {
 		l.balancer.Learn(l.learned)
@@ -197,9 +204,11 @@
 func (l *loop) logStats(now balancer.Micros) {
 	stats, up := l.balancer.Stats(now), l.up.counts()
 	if stats.Requests != l.stats.Requests {
+		inForce := l.current.Load()
 		l.log.Info("counts", "of", stats.Since(&l.stats), "list_age_ms", (now-l.heard)/1000, "list_seq", l.from.newest, "calls", l.calls.since(l.asked), "dials", up.dials-l.dials.dials,
 			"dial_ms", (up.dialTime-l.dials.dialTime).Milliseconds()/int64(max(1, up.dials-l.dials.dials)),
-			"dial_failed", up.failed-l.dials.failed, "no_connection", up.full-l.dials.full, "connections", up.open, "lag_ms", float64(l.lag.Microseconds())/1000)
+			"dial_failed", up.failed-l.dials.failed, "no_connection", up.full-l.dials.full, "connections", up.open, "lag_ms", float64(l.lag.Microseconds())/1000,
+			"generation", inForce.generation, "hash", inForce.hash, "reloads", inForce.generation-firstGeneration, "reloads_refused", l.refused)
 	}
 	l.stats, l.dials, l.asked, l.lag = stats, up, l.calls, 0
 }
@@ -237,6 +246,9 @@
 	l.lastID++
 	r.id, in.ID, r.deadline = l.lastID, l.lastID, in.Deadline
 	l.requests[r.id] = r
+	if in.Under == &l.cfg.Settings {
+		in.Under = nil // nothing has changed since it was read
+	}
 	if up := r.message.upload; up != nil {
 		up.written = func() {
 			l.post(func(at balancer.Micros) {
@@ -271,7 +283,7 @@
 		l.finish(r, answer{code: http.StatusOK, header: res.header, body: res.body,
 			rest: res.rest, length: res.length, held: res.held})
 	}
-	o.Settled = r.over
+	o.Settled, o.Load = r.over, l.loadOf(res)
 	l.balancer.Outcome(now, o)
 	l.forget(r)
 }
@@ -426,7 +438,7 @@
 		}
 		cancel()
 		l.post(func(at balancer.Micros) {
-			o.Status, o.Load, o.Latency = res.status, res.load, at-now
+			o.Status, o.Latency = res.status, at-now
 			if up := r.message.upload; up != nil {
 				if o.Spent = up.spent.Load() || up.phase.Load() != passing; !up.at.IsZero() {
 					o.Latency = time.Since(up.at).Microseconds()
@@ -471,7 +483,7 @@
 			res = l.up.probe(l.ctx, t)
 		}
 		l.post(func(now balancer.Micros) {
-			l.balancer.Probed(now, endpoint, res.status, res.took.Microseconds(), res.load)
+			l.balancer.Probed(now, endpoint, res.status, res.took.Microseconds(), l.loadOf(res))
 			l.back(endpoint)
 		})
 	}()
@@ -485,7 +497,7 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	from, disc := l.from, l.disc
+	from, disc, subscribe := l.from, l.disc, l.cfg.Settings.Subscribe
 	tell := func(event func(now balancer.Micros)) {
 		l.post(func(now balancer.Micros) {
 			if ctx.Err() == nil { // else the watch was ended meanwhile
@@ -508,7 +520,7 @@
 				l.balancer.Members(now, balancer.ListFailed, nil)
 				next <- l.from
 			})
-			if l.cfg.Settings.Subscribe {
+			if subscribe {
 				return // when to ask again is the balancer's decision
 			}
 			pause(ctx, jittered(disc.rest)) // the balancer never asks: the watch begins again by itself
@@ -566,19 +578,5 @@
 	l.unheard = true
 }
 
-// reload takes up what a new configuration may change: where discovery is. Its
-// list is asked for whole, since versions may be the old one's. Requests in hand and
-// what the balancer knows stay.
-func (l *loop) reload(next *Config) {
-	old := l.disc
-	moved := *l.cfg // all else stays
-	moved.Discovery = next.Discovery
-	l.disc = newDiscovery(&moved)
-	l.from.after, l.from.settle = nil, time.Now().Add(olderMoved)
-	l.Watch(true)
-	old.client.CloseIdleConnections()
-	l.log.Info("configuration reloaded", "discovery", next.Discovery)
-}
-
 // Log records a line of the balancer's.
 func (l *loop) Log(line string) { l.log.Info(line) }
--- /dev/null
+++ b/internal/sidecar/reload.go
@@ -0,0 +1,276 @@
+package sidecar
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"reflect"
+	"slices"
+	"time"
+
+	"peatpost/balancer"
+)
+
+const (
+	firstGeneration = 1                     // of the configuration that a sidecar starts with
+	hashBytes       = 6                     // of the configuration's hash in log lines
+	rereadPause     = 50 * time.Millisecond // between two readings of the file, however many signals come
+)
+
+// Rereads reads a configuration file again at each signal and sends what came of it, for Run: also a failure, which
+// the sidecar counts and logs. Signals that come during a reading, or shortly after it, lead to one more.
+func Rereads(path string, signals <-chan os.Signal) <-chan *Config {
+	configs := make(chan *Config)
+	go func() {
+		defer close(configs)
+		for range signals {
+			cfg, err := LoadConfig(path)
+			if err != nil {
+				cfg = &Config{fault: err}
+			}
+			configs <- cfg
+			time.Sleep(rereadPause)
+		}
+	}()
+	return configs
+}
+
+// snapshot is a configuration in force. It does not change: clients' goroutines read it while the loop goes on to
+// the next one.
+type snapshot struct {
+	*Config
+	generation int
+	hash       string
+	classes    map[string]uint8  // places in the settings, by name
+	tenants    map[string]uint16 // the same
+	earlier    time.Time         // by when requests that began under earlier ones have their answers
+}
+
+// newSnapshot returns the first configuration of a sidecar.
+func newSnapshot(cfg *Config) *snapshot {
+	s := &snapshot{Config: cfg, generation: firstGeneration, hash: cfg.hash(),
+		classes: map[string]uint8{}, tenants: map[string]uint16{}}
+	for i, c := range cfg.Settings.Classes {
+		s.classes[c.Name] = uint8(i)
+	}
+	for i, t := range cfg.Settings.Tenants {
+		s.tenants[t.Name] = uint16(i)
+	}
+	return s
+}
+
+// replacedBy returns the configuration that follows s, with the hash of the file that it is from.
+func (s *snapshot) replacedBy(cfg *Config, hash string) *snapshot {
+	next := newSnapshot(cfg)
+	next.hash = hash
+	next.generation = s.generation + 1
+	next.earlier = s.answeredBy(time.Now())
+	return next
+}
+
+// answeredBy returns the latest instant at which the answer is due to a request that comes by then.
+func (s *snapshot) answeredBy(by time.Time) time.Time {
+	var longest balancer.Micros
+	for _, c := range s.Settings.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	by = by.Add(time.Duration(longest) * time.Microsecond)
+	if by.Before(s.earlier) {
+		return s.earlier
+	}
+	return by
+}
+
+// shared is what a configuration says that a running sidecar takes up, without what tells sidecars of one fleet
+// apart.
+type shared struct {
+	Settings     balancer.Settings
+	Sockets      int
+	Zones, Kinds []string
+	Fields       []string
+	Keepalive    time.Duration
+}
+
+func (c *Config) shared() shared {
+	return shared{c.Settings, c.Limits.Sockets, c.zones, c.kinds, c.fields, c.idle}
+}
+
+// hash is a short hash of what holds at the whole fleet: sidecars that show the same one have the same settings,
+// however their files are written.
+func (c *Config) hash() string {
+	fleet := c.shared()
+	fleet.Settings.Zone, fleet.Settings.Position = 0, 0
+	fleet.Zones, fleet.Kinds = slices.Sorted(slices.Values(c.zones)), slices.Sorted(slices.Values(c.kinds))
+	text, err := json.Marshal(fleet)
+	if err != nil {
+		return "none: " + err.Error() // a figure that is not finite; no file gives one
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// equal says whether a running sidecar has nothing to take up of next.
+func (c *Config) equal(next *Config) bool {
+	return c.Discovery == next.Discovery && reflect.DeepEqual(c.shared(), next.shared())
+}
+
+// succeededBy returns what a sidecar that runs by c takes up of next.
+func (c *Config) succeededBy(next *Config) *Config {
+	merged := *c
+	merged.Discovery, merged.Limits.Sockets = next.Discovery, next.Limits.Sockets
+	merged.Settings, merged.fields, merged.idle = next.Settings, next.fields, next.idle
+	merged.zones, merged.kinds = numbered(c.zones, next.zones), numbered(c.kinds, next.kinds)
+	if own := next.Settings.Zone; own >= 0 && own < len(next.zones) {
+		merged.Settings.Zone = slices.Index(merged.zones, next.zones[own])
+	}
+	return &merged
+}
+
+// numbered returns names by the numbers that the balancer knows them by: none is given to another name.
+func numbered(old, next []string) []string {
+	all := slices.Clone(old)
+	for _, name := range next {
+		if !slices.Contains(all, name) && len(all) < unknownName {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// needRestart names the keys that differ in next and can't change in a process that runs.
+func (c *Config) needRestart(next *Config) (keys []string) {
+	for _, k := range [...]struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"admin_addr", c.Admin == next.Admin},
+		{"seed", c.Seed == next.Seed}, {"limits.memory_mb", c.Limits.MemoryMB == next.Limits.MemoryMB},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+// changed names the parts of c that differ in next.
+func (c *Config) changed(next *Config) (parts []string) {
+	was, is := &c.Settings, &next.Settings
+	for _, p := range [...]struct {
+		part    string
+		was, is any
+	}{
+		{"discovery", c.Discovery, next.Discovery}, {"classes", was.Classes, is.Classes},
+		{"tenants", was.Tenants, is.Tenants}, {"settings.limits", was.Limits, is.Limits},
+		{"contract", was.Contract, is.Contract}, {"prices", was.Prices, is.Prices}, {"goal", was.Goal, is.Goal},
+		{"reporting", c.fields, next.fields}, {"areas", c.zones, next.zones}, {"skus", c.kinds, next.kinds},
+		{"zone", was.Zone, is.Zone}, {"peers-total", was.Balancers, is.Balancers},
+		{"limits.sockets", c.Limits.Sockets, next.Limits.Sockets}, {"keepalive", c.idle, next.idle},
+	} {
+		if !reflect.DeepEqual(p.was, p.is) {
+			parts = append(parts, p.part)
+		}
+	}
+	return parts
+}
+
+// movesWatch says whether discovery has to be asked anew under next: elsewhere, at another pace, or since its words
+// mean something else.
+func (c *Config) movesWatch(next *Config) bool {
+	was, is := &c.Settings, &next.Settings
+	return c.Discovery != next.Discovery || was.Subscribe != is.Subscribe ||
+		was.Contract.AskWithin != is.Contract.AskWithin || was.Contract.DrainGrace != is.Contract.DrainGrace ||
+		!slices.Equal(c.zones, next.zones) || !slices.Equal(c.kinds, next.kinds)
+}
+
+// enforce puts a configuration in force.
+func (l *loop) enforce(s *snapshot) {
+	l.cfg = s.Config
+	l.current.Store(s)
+}
+
+// reload takes up a new configuration in one step, or refuses it and changes nothing. Requests in hand, the list of
+// endpoints and what is known of them stay.
+func (l *loop) reload(next *Config) {
+	if next.fault != nil {
+		l.refuse(next.fault)
+		return
+	}
+	old, merged := l.cfg, l.cfg.succeededBy(next)
+	restart := old.needRestart(next)
+	if old.equal(merged) {
+		if len(restart) > 0 {
+			l.log.Warn("configuration needs a restart", "needs_restart", restart)
+		}
+		return
+	}
+	withdrawn, err := l.balancer.Reconfigure(merged.Settings)
+	if err != nil {
+		l.refuse(err)
+		return
+	}
+	l.enforce(l.current.Load().replacedBy(merged, next.hash()))
+	l.withdraw(withdrawn)
+	l.up.configure(merged)
+	if old.Limits != merged.Limits && l.relimit != nil {
+		l.relimit()
+	}
+	if old.movesWatch(merged) {
+		l.moveWatch()
+	}
+	l.logConfiguration(old.changed(merged), restart)
+}
+
+// refuse records that a configuration can't be taken.
+func (l *loop) refuse(err error) {
+	l.refused++
+	inForce := l.current.Load()
+	l.log.Error("configuration not reloaded", "error", err, "reloads_refused", l.refused,
+		"generation", inForce.generation, "hash", inForce.hash)
+}
+
+// logConfiguration records what is in force from now on, what has changed with it, and what has not.
+func (l *loop) logConfiguration(changed, restart []string) {
+	inForce := l.current.Load()
+	attributes := []any{"generation", inForce.generation, "hash", inForce.hash, "discovery", inForce.Discovery}
+	if len(changed) > 0 {
+		attributes = append(attributes, "changed", changed)
+	}
+	if len(restart) > 0 {
+		attributes = append(attributes, "needs_restart", restart)
+	}
+	l.log.Info("configuration in force", attributes...)
+}
+
+// withdraw keeps attempts from beginning. Those that have begun go on.
+func (l *loop) withdraw(attempts []balancer.AttemptID) {
+	for _, a := range attempts {
+		if started := l.requests[a.Request].attempts[a.Attempt]; started.gate.close() {
+			started.cancel()
+		}
+	}
+}
+
+// moveWatch has discovery asked for its whole list by the configuration in force: versions may be another
+// service's.
+func (l *loop) moveWatch() {
+	old := l.disc
+	l.disc = newDiscovery(l.cfg)
+	l.from.after, l.from.settle = nil, time.Now().Add(olderMoved)
+	l.Watch(true)
+	old.client.CloseIdleConnections()
+}
+
+// loadOf returns a result's load report, unless reports have come to name other figures since it was read.
+func (l *loop) loadOf(res result) []float32 {
+	if res.report != l.up.report.Load() {
+		return nil
+	}
+	return res.load
+}
+
+// rampTime is how long an endpoint takes to be warm.
+func (l *loop) rampTime() time.Duration {
+	return time.Duration(l.current.Load().Settings.Contract.RampTime) * time.Microsecond
+}
--- /dev/null
+++ b/internal/sidecar/reload_test.go
@@ -0,0 +1,443 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+// classes returns the settings' list of classes.
+func classes(settings map[string]any) []any { return settings["classes"].([]any) }
+
+// class returns the settings of one class.
+func class(settings map[string]any, name string) map[string]any {
+	for _, c := range classes(settings) {
+		if c := c.(map[string]any); c["name"] == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// without leaves a class out of the settings.
+func without(name string) func(settings map[string]any) {
+	return func(s map[string]any) {
+		s["classes"] = slices.DeleteFunc(classes(s), func(c any) bool { return c.(map[string]any)["name"] == name })
+	}
+}
+
+// searching adds a class ahead of the others.
+func searching(s map[string]any) {
+	added := map[string]any{"name": "search", "repeat": "side_effect", "target": 600000, "give-up": 3000000}
+	s["classes"] = append([]any{added}, classes(s)...)
+}
+
+// reload has the sidecar take up changed settings, and returns what it logs.
+func (w *world) reload(alter func(settings map[string]any)) string {
+	w.t.Helper()
+	next := configure(w.t, w.dir.address, alter)
+	return w.logged(func() { w.loop.reload(next) })
+}
+
+// logged runs f in the loop and returns what the loop logs meanwhile.
+func (w *world) logged(f func()) string {
+	w.t.Helper()
+	var text bytes.Buffer
+	w.do(func() {
+		old := w.loop.log
+		w.loop.log = slog.New(slog.NewTextHandler(&text, nil))
+		f()
+		w.loop.log = old
+	})
+	return text.String()
+}
+
+// A class is answered from the reload on that adds it, and no more from the one that takes it away; the others are
+// served under their own rules wherever they stand. So with tenants.
+func TestReloadedClassesAndTenants(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	check := func(when string, want map[string]int) {
+		t.Helper()
+		for name, code := range want {
+			r := w.request(name, "x", time.Minute)
+			r.Header.Set("X-Account", "acme")
+			if got := w.send(r); got.code != code {
+				t.Errorf("%s: %s is answered %+v, want %d", when, name, got, code)
+			}
+		}
+	}
+	check("at the start", map[string]int{"search": 400, "read": 200, "pay": 200, "order": 200})
+	if log := w.reload(searching); !strings.Contains(log, `msg="configuration in force" generation=2 hash=`) ||
+		!strings.Contains(log, "changed=[classes]") || strings.Count(log, "\n") != 1 {
+		t.Errorf("logged %q", log)
+	}
+	check("with a class more", map[string]int{"search": 200, "read": 200, "pay": 200, "order": 200})
+	w.reload(func(s map[string]any) { without("pay")(s); slices.Reverse(classes(s)) })
+	check("with two classes less, and the others reversed", map[string]int{"search": 400, "read": 200, "pay": 400, "close": 200, "order": 200})
+	tenants := func(names ...string) func(map[string]any) {
+		return func(s map[string]any) {
+			var list []any
+			for _, name := range names {
+				list = append(list, map[string]any{"name": name, "allowance-per-s": 10})
+			}
+			s["tenants"] = list
+		}
+	}
+	w.reload(tenants("other"))
+	check("without the tenant", map[string]int{"read": 400})
+	w.reload(tenants("other", "acme"))
+	check("with the tenant", map[string]int{"read": 200})
+}
+
+// A request in hand is answered under the class that it began under: its repeat is sent, and its late outcome is
+// taken, while the class is moved, changed or taken away.
+func TestRequestInHandOverAReload(t *testing.T) {
+	for name, alter := range map[string]func(map[string]any){
+		"moved": func(s map[string]any) { slices.Reverse(classes(s)) }, "gone": without("pay"),
+		"added ahead": searching, "less time": func(s map[string]any) { class(s, "pay")["give-up"] = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			answer := make(chan struct{})
+			var seen atomic.Int32
+			serve := func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+				for e.next(in) != nil {
+					if seen.Add(1) > 1 {
+						io.WriteString(conn, served)
+						continue
+					}
+					<-answer
+					io.WriteString(conn, failing)
+				}
+			}
+			first, second := newEndpoint(t, serve), newEndpoint(t, serve)
+			w := start(t, nil, ready("s-1", first.address), ready("s-2", second.address))
+			held := make(chan reply)
+			go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
+			w.until("the request in hand", func() bool { return seen.Load() == 1 })
+			w.reload(alter)
+			close(answer)
+			if got := <-held; got.code != http.StatusOK || got.body != "done" {
+				t.Errorf("answer %+v", got)
+			}
+			for _, e := range []*endpoint{first, second} {
+				if n, _ := e.seen(); n != 1 || e.request(0).URL.Path != "/pay/x/y" {
+					t.Errorf("an endpoint got %d requests, want 1 of the class", n)
+				}
+			}
+			w.until("nothing to be in hand", func() (none bool) {
+				w.do(func() { none = len(w.loop.requests) == 0 })
+				return none
+			})
+		})
+	}
+}
+
+// A request that was read before a reload and reaches the loop after it is served as what it was read as.
+func TestRequestReadBeforeAReload(t *testing.T) {
+	for name, alter := range map[string]func(map[string]any){
+		"moved": func(s map[string]any) { slices.Reverse(classes(s)) }, "gone": without("pay"),
+		"unsafe": func(s map[string]any) { class(s, "pay")["repeat"] = "side_effect" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newEndpoint(t, always(served))
+			w := start(t, nil, ready("s-1", e.address))
+			next := configure(t, w.dir.address, alter)
+			busy := make(chan struct{})
+			w.loop.post(func(balancer.Micros) { <-busy })
+			answer := make(chan reply)
+			go func() { answer <- w.send(w.request("pay", "x", time.Minute)) }()
+			w.until("the request to be read", func() bool {
+				w.server.mu.Lock()
+				defer w.server.mu.Unlock()
+				return len(w.server.ids) == 1
+			})
+			go w.loop.urge(func(balancer.Micros) { w.loop.reload(next) })
+			w.until("the reload to wait", func() bool { return len(w.loop.urgent) == 1 })
+			close(busy)
+			if got := <-answer; got.code != http.StatusOK {
+				t.Errorf("answer %+v", got)
+			}
+			if n, _ := e.seen(); n != 1 || w.loop.current.Load().generation != 2 {
+				t.Errorf("the endpoint got %d requests, generation %d", n, w.loop.current.Load().generation)
+			}
+		})
+	}
+}
+
+// A repeat that waits for its connection when its class turns unsafe never begins, and the client is promised
+// nothing; a first attempt goes on.
+func TestUnsafeClassHoldsForAttemptsNotYetSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		held int32 // the dial that waits
+		code int
+	}{"a repeat": {2, http.StatusBadGateway}, "a first attempt": {1, http.StatusOK}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var dials, seen atomic.Int32
+			serve := func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+				for e.next(in) != nil {
+					seen.Add(1)
+					if c.code == http.StatusOK {
+						io.WriteString(conn, served)
+					} else {
+						io.WriteString(conn, failing)
+					}
+				}
+			}
+			w := start(t, nil, ready("s-1", newEndpoint(t, serve).address), ready("s-2", newEndpoint(t, serve).address))
+			dialling, goOn := make(chan struct{}), make(chan struct{})
+			w.do(func() {
+				w.loop.up.dialer.Control = func(string, string, syscall.RawConn) error {
+					if dials.Add(1) == c.held {
+						close(dialling)
+						<-goOn
+					}
+					return nil
+				}
+			})
+			answer := make(chan reply)
+			go func() { answer <- w.send(w.request("read", "", time.Minute)) }()
+			<-dialling
+			w.reload(func(s map[string]any) { class(s, "read")["repeat"] = "side_effect" })
+			close(goOn)
+			if got := <-answer; got.code != c.code {
+				t.Errorf("answer %+v, want %d", got, c.code)
+			}
+			if seen.Load() != 1 {
+				t.Errorf("%d attempts reached an endpoint, want 1", seen.Load())
+			}
+		})
+	}
+}
+
+// The hash goes by what is in force, not by how the file is written or which sidecar reads it. A file that equals
+// what is in force does nothing; what can't change in a process is named.
+func TestEqualConfigurationDoesNothing(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	first := w.loop.current.Load()
+	if log := w.reload(nil); log != "" || w.loop.current.Load() != first {
+		t.Errorf("logged %q, generation %d", log, w.loop.current.Load().generation)
+	}
+	log := w.logged(func() {
+		next := *configure(t, w.dir.address, nil)
+		next.Name, next.Listen, next.Seed, next.Limits.MemoryMB = "n1", "127.0.0.1:1", 7, 64
+		w.loop.reload(&next)
+	})
+	if !strings.Contains(log, `needs_restart="[name listen seed limits.memory_mb]"`) || w.loop.current.Load() != first ||
+		strings.Count(log, "\n") != 1 {
+		t.Errorf("logged %q", log)
+	}
+	text := func(settings string) string {
+		return `{"settings":` + settings + `,"seed":"1","discovery":"127.0.0.1:2","listen":"127.0.0.1:1","limits":{"sockets":256,"memory_mb":9}}`
+	}
+	for what, c := range map[string]struct {
+		old, new string
+		same     bool
+	}{
+		"spaces": {`{"name":"pay",`, "{ \"name\" :\t\"pay\",\n", true}, "areas": {`"areas":["a","b"]`, `"areas":["b","a"]`, true},
+		"order":         {`{"name":"read","repeat":"pure",`, `{"repeat":"pure","name":"read",`, true},
+		"another place": {`"position":0,"zone":0`, `"position":3,"zone":1`, true},
+		"a target":      {`"target":600000`, `"target":600001`, false}, "a limit": {`"keepalive":5000000`, `"keepalive":5000001`, false},
+	} {
+		cfg, err := ParseConfig([]byte(text(strings.Replace(settingsText, c.old, c.new, 1))))
+		if err != nil || (cfg.hash() == first.hash) != c.same || len(cfg.hash()) != 2*hashBytes {
+			t.Errorf("%s: %v, hash %s beside %s", what, err, cfg.hash(), first.hash)
+		}
+	}
+}
+
+// What can't be taken changes nothing: one line names the key, and it is counted.
+func TestUnusableFileChangesNothing(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	first := w.loop.current.Load()
+	path := filepath.Join(t.TempDir(), "config.json")
+	signals := make(chan os.Signal, 1)
+	defer close(signals)
+	configs := Rereads(path, signals)
+	good := `{"name":"n0","listen":"127.0.0.1:0","discovery":"` + w.dir.address + `","seed":"8c1f30d27a5be964",` +
+		`"limits":{"memory_mb":192,"sockets":256},"settings":` + settingsText + `}`
+	tried := 0
+	for _, c := range []struct{ old, new, key string }{
+		{good, "", "config.json"}, {good, good[:200], "JSON"}, {good, "[" + good + "]", "array into Go value of type sidecar.configFile"},
+		{`"sockets":256`, `"sockets":1`, "limits.sockets"}, {`"sockets":256`, `"sockets":"x"`, "limits.sockets"},
+		{`"seed":"8`, `"seed":"x`, "seed"}, {`"name":"pay"`, `"name":"read"`, "classes.1.name"},
+		{`"target":600000`, `"target":0`, "Classes[0].Aim"}, {`"window":5000000`, `"window":-1`, "Window"},
+		{`"target":600000`, `"target":1e400`, "classes.0.target"}, {`"most-tries":3`, `"most-tries":0`, "MaxAttempts"},
+		{`"cold-from":0.3`, `"cold-from":2`, "ColdFrom"}, {`"tenants":[]`, `"tenants":[{"name":"a"},{"name":"a"}]`, "tenants.1.name"},
+		{`"dial-timeout":2000000`, `"dial-timeout":0`, "limits.dial-timeout"}, {settingsText, "{}", "classes"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the configuration", c.old)
+		}
+		os.Remove(path)
+		if text != "" {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		signals <- syscall.SIGHUP
+		next := <-configs
+		tried++
+		log := w.logged(func() { w.loop.reload(next) })
+		if strings.Count(log, "\n") != 1 || !strings.Contains(log, `msg="configuration not reloaded"`) ||
+			!strings.Contains(log, c.key) || !strings.Contains(log, fmt.Sprintf("reloads_refused=%d", tried)) {
+			t.Errorf("%s: logged %q, want one line with %q and the count %d", c.new, log, c.key, tried)
+		}
+	}
+	if now := w.loop.current.Load(); now != first || w.loop.cfg != first.Config {
+		t.Errorf("generation %d is in force, want the first", now.generation)
+	}
+	if got := w.send(w.request("pay", "x", time.Minute)); got.code != http.StatusOK {
+		t.Errorf("answer %+v", got)
+	}
+	counts := w.logged(func() { w.loop.logStats(w.loop.clock.now()) })
+	if want := fmt.Sprintf("generation=1 hash=%s reloads=0 reloads_refused=%d", first.hash, tried); !strings.Contains(counts, want) {
+		t.Errorf("counts %q, want %q", counts, want)
+	}
+}
+
+// What operators and discovery have told of endpoints stays over a change of settings, which does not ask
+// discovery again; limits hold at once, for connections, too.
+func TestReloadKeepsEndpointsAndTakesLimits(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := startWith(t, nil, longWaits, ready("s-1", e.address), ready("s-2", e.address))
+	w.until("the watch", func() bool { return w.dir.count() == 2 })
+	drained := ready("s-1", e.address)
+	drained.Health = "Terminating"
+	var before, after map[uint32]member
+	var watch, same *discovery
+	members := func() map[uint32]member {
+		all := map[uint32]member{}
+		for id, m := range w.loop.fleet {
+			all[id] = *m
+		}
+		return all
+	}
+	w.do(func() {
+		now := w.loop.clock.now()
+		w.loop.members(now, balancer.ListDelta, registry{Hosts: []host{drained}})
+		w.loop.mark(now, []mark{{Name: "s-2", Out: true}})
+		before, watch = members(), w.loop.disc
+	})
+	next := *configure(t, w.dir.address, func(s map[string]any) {
+		limits := s["limits"].(map[string]any)
+		limits["dial-timeout"], limits["keepalive"], limits["most-held"] = 7000, 4000, 9
+		s["reporting"] = map[string]any{"how": "probe", "fields": []string{"pending"}}
+	})
+	next.Limits.Sockets = 128
+	var old, read result
+	old.load, old.report = w.loop.up.loadReport("failed_ps=1,pending=2")
+	w.do(func() {
+		w.loop.reload(&next)
+		after, same = members(), w.loop.disc
+		read.load, read.report = w.loop.up.loadReport("failed_ps=1,pending=2")
+		if load := w.loop.loadOf(read); len(load) != 1 || load[0] != 2 {
+			t.Errorf("a report by the new fields: %v", load)
+		}
+		if load := w.loop.loadOf(old); load != nil {
+			t.Errorf("a report that was read by the old fields tells %v", load)
+		}
+	})
+	if len(before) != 2 || before[1] != after[1] || before[2] != after[2] || !w.loop.marks["s-2"].Out {
+		t.Errorf("endpoints %+v, were %+v", after, before)
+	}
+	if watch != same || w.dir.count() != 2 {
+		t.Error("a change of settings asks discovery again")
+	}
+	up := w.loop.up
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	if up.dialer.Timeout != 7*time.Millisecond || up.idleMost != 3*time.Millisecond || up.most != connections(&next) {
+		t.Errorf("time-out %v, idle for %v, %d connections", up.dialer.Timeout, up.idleMost, up.most)
+	}
+	w.server.clients.mu.Lock()
+	defer w.server.clients.mu.Unlock()
+	if w.server.clients.most != connections(&next) || w.server.clients.mostAsked != 128/crowdPart {
+		t.Errorf("%d connections of clients, %d asked on", w.server.clients.most, w.server.clients.mostAsked)
+	}
+}
+
+// Areas keep their numbers, by which the balancer knows them, in any order.
+func TestAreasKeepTheirNumbers(t *testing.T) {
+	c := &Config{zones: []string{"a", "b"}}
+	next := &Config{zones: []string{"c", "b", "a"}, Settings: balancer.Settings{Zone: 1}}
+	got := c.succeededBy(next)
+	if !slices.Equal(got.zones, []string{"a", "b", "c"}) || got.Settings.Zone != 1 || !c.movesWatch(got) {
+		t.Errorf("areas %v, own %d", got.zones, got.Settings.Zone)
+	}
+	if fresh := newSnapshot(next); newSnapshot(c).replacedBy(got, next.hash()).hash != fresh.hash {
+		t.Error("the hash differs from that of a sidecar which starts with the file")
+	}
+	next.Settings.Zone = 0
+	if got := c.succeededBy(next); got.Settings.Zone != 2 {
+		t.Errorf("own area %d, want 2", got.Settings.Zone)
+	}
+}
+
+// Before the first event, in a drain by hand and after SIGTERM a reload holds like at any other time, and ends
+// nothing early: requests of before have the time that they began with.
+func TestReloadAtTheEdges(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := &world{t: t, dir: newDirectory(t, ready("s-1", e.address))}
+	cfg := configure(t, w.dir.address, nil, ready("s-1", e.address))
+	l, err := newLoop(t.Context(), cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		l.urge(func(balancer.Micros) { l.reload(configure(t, w.dir.address, searching)) })
+		close(done)
+	}()
+	await(t, "the reload to wait", func() bool { return len(l.urgent) == 1 })
+	go l.run()
+	<-done
+	if now := l.current.Load(); now.generation != 2 || len(now.classes) != 5 {
+		t.Errorf("during the start: generation %d, classes %v", now.generation, now.classes)
+	}
+
+	w = start(t, nil, ready("s-1", e.address))
+	w.server.acceptFor = patience
+	w.server.drained.Store(true)
+	w.reload(searching)
+	got := w.send(w.request("search", "x", time.Minute))
+	if got.code != http.StatusOK || w.server.isReady() {
+		t.Errorf("in a drain by hand: %+v", got)
+	}
+	w.stop()
+	w.until("the end of service", w.server.leaving)
+	before := time.Now()
+	w.reload(func(s map[string]any) {
+		s["classes"] = []any{map[string]any{"name": "find", "repeat": "side_effect", "target": 1, "give-up": 1}}
+	})
+	if got := w.send(w.request("find", "x", time.Minute)); got.code != http.StatusOK {
+		t.Errorf("after SIGTERM: %+v", got)
+	}
+	now := w.loop.current.Load()
+	if due := now.answeredBy(before); due.Before(before.Add(3 * time.Second)) {
+		t.Errorf("requests of before have %v, want their 3 s", due.Sub(before))
+	}
+	if late := before.Add(time.Minute); now.answeredBy(late).After(late.Add(time.Second)) {
+		t.Error("requests that come later are waited for by the old classes")
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -44,20 +44,21 @@
 	loop    *loop
 	http    http.Server
 	clients *clients
-	classes map[string]uint8
-	tenants map[string]uint16
 	ending  atomic.Bool
 	drained atomic.Bool // by hand
 
 	mu  sync.Mutex
 	ids map[string]bool // X-Correlation-Id of the requests in hand
 
+	limits    sync.Mutex // held while they are set
+	processes int        // of this sidecar, among which the limits are shared
+
 	acceptFor time.Duration // after SIGTERM
 	seat      *seat         // among the processes of this sidecar; nil where there can be no other
 }
 
-// Run serves until ctx ends, then answers what it has taken and returns. New
-// configurations may come at any time.
+// Run serves until ctx ends, then answers what it has taken and returns. Any number of new configurations may come
+// at any time; each is in force, or refused, by the time that the next one is received.
 func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
 	listener, err := listen(cfg.Listen, cfg.Passed)
 	if err != nil {
@@ -81,7 +82,7 @@
 	}
 	go func() {
 		for next := range reloads {
-			l.post(func(balancer.Micros) { l.reload(next) })
+			l.urge(func(balancer.Micros) { l.reload(next) })
 		}
 	}()
 	if cfg.Passed != "" { // another process may take over
@@ -138,14 +139,9 @@
 type connKey struct{}
 
 func newServer(l *loop) *server {
-	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, ids: map[string]bool{},
+	s := &server{loop: l, ids: map[string]bool{}, processes: 1,
 		clients: &clients{most: connections(l.cfg), mostAsked: l.cfg.Limits.Sockets / crowdPart}, acceptFor: acceptAfter}
-	for i, c := range l.cfg.Settings.Classes {
-		s.classes[c.Name] = uint8(i)
-	}
-	for i, t := range l.cfg.Settings.Tenants {
-		s.tenants[t.Name] = uint16(i)
-	}
+	l.relimit = s.relimit
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: readTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: idleTimeout,
@@ -202,11 +198,8 @@
 // another process takes them.
 func (s *server) drain() error {
 	s.ending.Store(true)
-	var longest balancer.Micros
-	for _, c := range s.loop.cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
-	}
-	end := time.Now().Add(s.acceptFor + time.Duration(longest)*time.Microsecond)
+	ended := time.Now()
+	late := func() bool { return time.Now().After(s.loop.current.Load().answeredBy(ended.Add(s.acceptFor))) }
 	if !s.relieved() {
 		time.Sleep(s.acceptFor)
 	}
@@ -214,7 +207,7 @@
 		return fmt.Errorf("stop accepting: %w", err)
 	}
 	// The first wait is for a connection that is being accepted just now.
-	for time.Sleep(sweepEvery); s.clients.count() > 0 && time.Now().Before(end); {
+	for time.Sleep(sweepEvery); s.clients.count() > 0 && !late(); {
 		time.Sleep(sweepEvery)
 	}
 	s.http.Close()
@@ -471,7 +464,8 @@
 
 // parse reads the headers of a request.
 func (s *server) parse(in *http.Request, arrived balancer.Micros) (balancer.Request, error) {
-	var req balancer.Request
+	inForce := s.loop.current.Load()
+	req := balancer.Request{Under: &inForce.Settings}
 	h := in.Header
 	for _, name := range single {
 		if len(h[name]) > 1 {
@@ -482,7 +476,7 @@
 		return req, bad("X-Correlation-Id: %d characters, must be 1 to %d", len(id), idMost)
 	}
 	name := h.Get("X-Service-Class")
-	class, ok := s.classes[name]
+	class, ok := inForce.classes[name]
 	if !ok {
 		return req, bad("X-Service-Class: %q is not a known class", name)
 	}
@@ -491,7 +485,7 @@
 	}
 	req.Class = class
 	method, keyed := http.MethodPost, h.Get("Idempotency-Key") != ""
-	switch s.loop.cfg.Settings.Classes[class].Repeat {
+	switch inForce.Settings.Classes[class].Repeat {
 	case balancer.Safe:
 		method = http.MethodGet
 	case balancer.Keyed:
@@ -511,8 +505,8 @@
 	}
 	left = min(left, uint64(timeLeftMost.Milliseconds()))
 	req.Deadline = arrived + int64(left)*1000 - answerMargin.Microseconds()
-	if len(s.tenants) > 0 {
-		if req.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
+	if len(inForce.tenants) > 0 {
+		if req.Tenant, ok = inForce.tenants[h.Get("X-Account")]; !ok {
 			return req, bad("X-Account: %q is not a known tenant", h.Get("X-Account"))
 		}
 	}
--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -407,7 +407,9 @@
 				}
 				dir.watched()
 				signal := time.Now()
-				l.post(func(int64) { l.reload(&Config{Discovery: "127.0.0.1:2"}) })
+				moved := *l.cfg
+				moved.Discovery = "127.0.0.1:2"
+				l.post(func(int64) { l.reload(&moved) })
 				synctest.Wait()
 				next.mu.Lock()
 				calls := len(next.calls)
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -46,8 +46,8 @@
 type store struct {
 	dir, sidecar string
 	log          *slog.Logger
-	keep         time.Duration // how long it matters that an endpoint was put back
-	hold         func(state)   // makes a state hold in this process, before it returns
+	keep         func() time.Duration // how long it matters that an endpoint was put back
+	hold         func(state)          // makes a state hold in this process, before it returns
 
 	mu   sync.Mutex
 	last state       // what holds
@@ -68,7 +68,7 @@
 	next := s.read()
 	next.Hosts = slices.Clone(next.Hosts)
 	change(&next)
-	old := time.Now().Add(-s.keep).UnixMilli()
+	old := time.Now().Add(-s.keep()).UnixMilli()
 	next.Hosts = slices.DeleteFunc(next.Hosts, func(m mark) bool { return !m.Out && m.SinceMS < old })
 	if err := s.write(next); err != nil {
 		return err
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,8 +41,8 @@
 	dialer   net.Dialer
 	idleMost time.Duration // idle connections are not used for longer,
 	rest     time.Duration // nor for so long after an answer
-	fields   []string      // of load reports
-	room     *budget       // for the bodies of answers
+	report   atomic.Pointer[reportFormat]
+	room     *budget // for the bodies of answers
 
 	mu                  sync.Mutex
 	open                int // connections, those being dialled included
@@ -105,6 +106,7 @@
 	length int64  // of the whole, -1 if unknown
 	held   func() // gives back the room for body
 	load   []float32
+	report *reportFormat // that load is in
 	took   time.Duration // from the write to the end, without the time to connect
 }
 
@@ -121,12 +123,24 @@
 type unsentError struct{ error }
 
 func newUpstream(cfg *Config, connections int, room *budget) *upstream {
-	return &upstream{
-		dialer: net.Dialer{Timeout: time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond},
-		// An endpoint closes an idle connection when its time is over at the
-		// latest, and what is written to it from then on is lost.
-		idleMost: cfg.idle * 3 / 4, rest: answerPause,
-		fields: cfg.fields, room: room, most: connections, idle: map[*target][]*conn{},
+	u := &upstream{rest: answerPause, room: room, most: connections, idle: map[*target][]*conn{}}
+	u.configure(cfg)
+	return u
+}
+
+// reportFormat names the figures of a load report, in the order of Settings.Fields.
+type reportFormat struct{ fields []string }
+
+// configure takes up what a configuration says of endpoints and connections to them.
+func (u *upstream) configure(cfg *Config) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dialer.Timeout = time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond
+	// An endpoint closes an idle connection when its time is over at the
+	// latest, and what is written to it from then on is lost.
+	u.idleMost = cfg.idle * 3 / 4
+	if old := u.report.Load(); old == nil || !slices.Equal(old.fields, cfg.fields) {
+		u.report.Store(&reportFormat{cfg.fields})
 	}
 }
 
@@ -158,7 +172,7 @@
 		r.status = balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
 	default:
 		response := got.response
-		r.load = u.loadReport(response.Header.Get("X-Backend-Load"))
+		r.load, r.report = u.loadReport(response.Header.Get("X-Backend-Load"))
 		switch code := response.StatusCode; {
 		case code == http.StatusOK:
 			r.status, r.header, r.body = balancer.OK, response.Header, got.body
@@ -196,12 +210,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address, probe: true}
-	if len(u.fields) > 0 {
+	if len(u.report.Load().fields) > 0 {
 		m.url.Path = "/stats"
 	}
 	r := u.attempt(ctx, t, m, &gate{})
 	if r.status == balancer.OK {
-		r.load = u.loadReport(string(r.body))
+		r.load, r.report = u.loadReport(string(r.body))
 		(&answer{rest: r.rest, held: r.held}).close()
 	}
 	return r
@@ -210,17 +224,18 @@
 // loadReport reads name=value pairs into the order of the settings. A figure
 // that is missing, repeated, malformed or beyond all sense is not a number,
 // which the balancer skips: it keeps what it knew.
-func (u *upstream) loadReport(text string) []float32 {
-	if text == "" || len(u.fields) == 0 {
-		return nil
+func (u *upstream) loadReport(text string) ([]float32, *reportFormat) {
+	report := u.report.Load()
+	if text == "" || len(report.fields) == 0 {
+		return nil, report
 	}
-	load, seen := make([]float32, len(u.fields)), make([]bool, len(u.fields))
+	load, seen := make([]float32, len(report.fields)), make([]bool, len(report.fields))
 	for i := range load {
 		load[i] = float32(math.NaN())
 	}
 	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
 		name, value, _ := strings.Cut(pair, "=")
-		i := slices.Index(u.fields, name)
+		i := slices.Index(report.fields, name)
 		if i < 0 {
 			continue
 		}
@@ -230,7 +245,7 @@
 		}
 		load[i], seen[i] = float32(v), true
 	}
-	return load
+	return load, report
 }
 
 // connect returns the connection to t that was used last, or opens one.
@@ -240,7 +255,8 @@
 		return c, err
 	}
 	start := time.Now()
-	raw, err := u.dialer.DialContext(ctx, "tcp", t.address)
+	dialer := u.currentDialer()
+	raw, err := dialer.DialContext(ctx, "tcp", t.address)
 	u.mu.Lock()
 	u.dialTime += time.Since(start)
 	if err != nil {
@@ -257,6 +273,13 @@
 	return c, nil
 }
 
+// currentDialer returns the dialer with the time-out in force.
+func (u *upstream) currentDialer() net.Dialer {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.dialer
+}
+
 // reserve returns an idle connection, or none with the right to open one. Where lists
 // are long, probes alone could hold all that may be open: they leave some to requests.
 func (u *upstream) reserve(t *target, probe bool) (*conn, error) {
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -308,7 +308,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := parseConfig(text)
+	cfg, err := ParseConfig(text)
 	if err != nil {
 		t.Fatal(err)
 	}
