Tell apart by its repeats which class a request read before a reload is served as

Cause: the test passed also where the request was taken by its place in the new list: both classes answered 200. Change: the first attempt fails, and the class in that place is unsafe; how often it is sent tells the class.

--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -148,17 +148,32 @@
 	}
 }
 
-// A request that was read before a reload and reaches the loop after it is served as what it was read as.
+// A request that was read before a reload and reaches the loop after it is served as what it was read as: it is
+// repeated like one of its own class, and not like one of the class that has taken its place, which is unsafe.
 func TestRequestReadBeforeAReload(t *testing.T) {
-	for name, alter := range map[string]func(map[string]any){
-		"moved": func(s map[string]any) { slices.Reverse(classes(s)) }, "gone": without("pay"),
-		"unsafe": func(s map[string]any) { class(s, "pay")["repeat"] = "side_effect" },
+	order := func(names ...string) func(map[string]any) {
+		return func(s map[string]any) {
+			var list []any
+			for _, name := range names {
+				list = append(list, class(s, name))
+			}
+			s["classes"] = list
+		}
+	}
+	for name, c := range map[string]struct {
+		alter    func(map[string]any)
+		code     int
+		attempts int
+	}{
+		"moved":  {order("read", "order", "close", "pay"), http.StatusOK, 2},
+		"gone":   {order("read", "order", "close"), http.StatusOK, 2},
+		"unsafe": {func(s map[string]any) { class(s, "pay")["repeat"] = "side_effect" }, http.StatusBadGateway, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			e := newEndpoint(t, always(served))
-			w := start(t, nil, ready("s-1", e.address))
-			next := configure(t, w.dir.address, alter)
+			e := newEndpoint(t, then(failing, served))
+			w := start(t, nil, ready("s-1", e.address), ready("s-2", e.address))
+			next := configure(t, w.dir.address, c.alter)
 			busy := make(chan struct{})
 			w.loop.post(func(balancer.Micros) { <-busy })
 			answer := make(chan reply)
@@ -171,11 +186,11 @@
 			go w.loop.urge(func(balancer.Micros) { w.loop.reload(next) })
 			w.until("the reload to wait", func() bool { return len(w.loop.urgent) == 1 })
 			close(busy)
-			if got := <-answer; got.code != http.StatusOK {
-				t.Errorf("answer %+v", got)
+			if got := <-answer; got.code != c.code {
+				t.Errorf("answer %+v, want %d", got, c.code)
 			}
-			if n, _ := e.seen(); n != 1 || w.loop.current.Load().generation != 2 {
-				t.Errorf("the endpoint got %d requests, generation %d", n, w.loop.current.Load().generation)
+			if n, _ := e.seen(); n != c.attempts || w.loop.current.Load().generation != 2 {
+				t.Errorf("%d attempts, want %d; generation %d", n, c.attempts, w.loop.current.Load().generation)
 			}
 		})
 	}
