--- a/internal/emulator/sidecarlog/events.go
+++ b/internal/emulator/sidecarlog/events.go
@@ -58,8 +58,8 @@
 	return e.counts
 }
 
-// Refuse notes that a configuration was refused.
-func (e *Events) Refuse() {
+// refuse notes that a configuration was refused.
+func (e *Events) refuse() {
 	e.note(func() { e.counts.Refused++ })
 }
 
--- a/internal/emulator/sidecarlog/handler.go
+++ b/internal/emulator/sidecarlog/handler.go
@@ -40,7 +40,7 @@
 	case inForce:
 		h.events.hold(configurationOf(record))
 	case notReloaded:
-		h.events.Refuse()
+		h.events.refuse()
 	}
 	return nil
 }
--- a/internal/emulator/sidecarlog/writer.go
+++ b/internal/emulator/sidecarlog/writer.go
@@ -37,7 +37,7 @@
 	case strings.Contains(line, message(inForce)):
 		w.events.hold(configuration{hash: value(line, hashKey), at: now})
 	case strings.Contains(line, message(notReloaded)):
-		w.events.Refuse()
+		w.events.refuse()
 	}
 }
 
--- a/internal/emulator/worker/hollow.go
+++ b/internal/emulator/worker/hollow.go
@@ -194,9 +194,11 @@
 	started time.Time
 	events  *sidecarlog.Events
 	stop    context.CancelFunc
-	hangups chan os.Signal
 	ended   chan struct{} // closed when the sidecar has ended
 	err     error         // why; valid once ended is closed
+
+	mu      sync.Mutex
+	hangups chan os.Signal // nil once the sidecar has ended
 }
 
 // readConfig reads a configuration file for a sidecar that shares its process.
@@ -218,45 +220,30 @@
 	s := &hosted{file: file, started: time.Now(), events: sidecarlog.New(), stop: stop, hangups: make(chan os.Signal, 1), ended: make(chan struct{})}
 	go func() {
 		defer close(s.ended)
-		s.err = sidecar.Run(ctx, cfg, s.rereads(ctx), s.events.Logger())
+		defer s.endHangups()
+		s.err = sidecar.Run(ctx, cfg, sidecar.Rereads(file.Path, s.hangups), s.events.Logger())
 	}()
 	return s, nil
 }
 
-// rereads reads the file again at each signal, as the program does.
-func (s *hosted) rereads(ctx context.Context) <-chan *sidecar.Config {
-	configs := make(chan *sidecar.Config)
-	go func() {
-		defer close(configs)
-		for {
-			select {
-			case <-s.hangups:
-			case <-ctx.Done():
-				return
-			}
-			cfg, err := readConfig(s.file.Path)
-			if err != nil {
-				s.events.Refuse()
-				continue
-			}
-			select {
-			case configs <- cfg:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return configs
-}
-
 // hangUp is SIGHUP: one that comes while another waits adds nothing.
 func (s *hosted) hangUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	select {
 	case s.hangups <- nil:
 	default:
 	}
 }
 
+// endHangups ends the signals of a sidecar that has ended.
+func (s *hosted) endHangups() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.hangups)
+	s.hangups = nil
+}
+
 // await waits for a condition, until ctx or the sidecar ends.
 func (s *hosted) await(ctx context.Context, condition sidecarlog.Condition) (time.Time, bool) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -45,9 +45,9 @@
 func (r *refusal) Error() string { return r.reason }
 
 func newAdmin(s *server) *admin {
-	cfg := s.loop.cfg
+	cfg := s.loop.current.Load()
 	a := &admin{server: s, store: &store{dir: cfg.Host.Directory, sidecar: cfg.Name, log: s.loop.log,
-		keep: time.Duration(cfg.Settings.Contract.RampTime) * time.Microsecond, hold: s.hold}}
+		keep: s.loop.rampTime, hold: s.hold}}
 	a.calls = map[string]call{
 		"/admin/health":   {http.MethodGet, a.health},
 		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -18,5 +18,5 @@
 	return Host{Directory: os.TempDir(), LimitMemory: func(bytes int64) { debug.SetMemoryLimit(bytes) }}
 }
 
-// Hash returns a short hash of what the configuration says that holds at a whole fleet.
-func (c *Config) Hash() string { return "" }
+// Hash returns the hash that a sidecar logs with this configuration in force. It is the same over a fleet.
+func (c *Config) Hash() string { return c.hash() }
