--- /dev/null
+++ b/internal/emulator/fleet/fleet_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"testing"
+
+	"peatpost/internal/emulator/spec"
+	"peatpost/internal/sidecar"
+)
+
+func shipped(t *testing.T) *spec.File {
+	t.Helper()
+	file, err := spec.Read("../../../deploy/emulator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func TestLayout(t *testing.T) {
+	l := New(shipped(t), spec.Size{Sidecars: 860, Endpoints: 860, Real: 16})
+	names, addresses, zones := map[string]bool{}, map[string]bool{}, map[int]int{}
+	for _, e := range l.Endpoints {
+		names[e.Name], addresses[e.Address] = true, true
+		zones[e.Zone]++
+	}
+	if len(l.Zones) != 6 || len(names) != 860 || len(addresses) != 860 {
+		t.Errorf("%d zones, %d names, %d addresses", len(l.Zones), len(names), len(addresses))
+	}
+	for zone, count := range zones {
+		if count < 143 || count > 144 {
+			t.Errorf("%d endpoints in zone %d", count, zone)
+		}
+	}
+	realZones := map[int]bool{}
+	real := 0
+	for _, s := range l.Sidecars {
+		if s.Real {
+			realZones[s.Zone] = true
+			real++
+		}
+	}
+	if real != 16 || len(realZones) != 6 {
+		t.Errorf("%d real sidecars in %d zones", real, len(realZones))
+	}
+}
+
+// A sidecar takes the configurations, and versions differ for it where they should.
+func TestConfigurations(t *testing.T) {
+	file := shipped(t)
+	c := &Configurations{File: file, Layout: New(file, spec.Size{Sidecars: 12, Endpoints: 12}), Discovery: "127.0.0.1:1", Seed: 7}
+	parse := func(number, version int) *sidecar.Config {
+		text, err := c.Text(c.Layout.Sidecars[number], "127.0.0.1:0", version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := sidecar.ParseConfig(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cfg
+	}
+	first, other, next := parse(0, 1), parse(5, 1), parse(0, 2)
+	s := first.Settings
+	if s.Balancers != 12 || !s.Subscribe || !s.Limits.Probes || len(s.Classes) != 3 || len(s.Tenants) != 4 || len(s.Fields) != 1 {
+		t.Errorf("settings %+v", s)
+	}
+	if first.Hash() != other.Hash() {
+		t.Error("sidecars of one fleet differ in what should be the same")
+	}
+	if first.Hash() == next.Hash() {
+		t.Error("two versions are the same")
+	}
+}
--- a/internal/emulator/fleet/layout.go
+++ b/internal/emulator/fleet/layout.go
@@ -74,14 +74,20 @@
 }
 
 func (l *Layout) sidecar(i int, size spec.Size) Sidecar {
+	zones := len(l.Zones)
+	zone, inZone := i%zones, i/zones
+	all, real := part(size.Sidecars, zones, zone), part(size.Real, zones, zone)
 	return Sidecar{
 		Name:     fmt.Sprintf("sidecar-%04d", i),
 		Position: i,
-		Zone:     i % len(l.Zones),
-		Real:     (i+1)*size.Real/size.Sidecars > i*size.Real/size.Sidecars,
+		Zone:     zone,
+		Real:     (inZone+1)*real/all > inZone*real/all,
 	}
 }
 
+// part is how many of a number of things go to one zone when they go to zones in turn.
+func part(count, zones, zone int) int { return (count + zones - 1 - zone) / zones }
+
 // Config returns how the stand-in for an endpoint is started.
 func (l *Layout) Config(e Endpoint, file *spec.File) endpoint.Config {
 	return endpoint.Config{
--- /dev/null
+++ b/internal/emulator/result/result_test.go
@@ -0,0 +1,143 @@
+package result
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"peatpost/internal/emulator/spec"
+)
+
+// runsOf makes runs of a sweep in which discovery's start takes bytes as given.
+func runsOf(sizes []int, plays int, bytes func(size, play int) float64) []*Run {
+	var runs []*Run
+	for play := 1; play <= plays; play++ {
+		for _, size := range sizes {
+			run := &Run{Scenario: "steady", Play: play, Size: spec.Size{Sidecars: size}}
+			run.Startup.Seconds = bytes(size, play)
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
+func startSeries(t *testing.T, runs []*Run) Series {
+	t.Helper()
+	for _, s := range AllSeries(runs) {
+		if s.Name == "start: time to the last sidecar's being ready" {
+			return s
+		}
+	}
+	t.Fatal("the metric is missing")
+	return Series{}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9*max(1, math.Abs(b)) }
+
+func TestFit(t *testing.T) {
+	sizes := []int{10, 20, 40, 80}
+	// The plays lie one above and one below the line, alike at all sizes.
+	runs := runsOf(sizes, 2, func(size, play int) float64 { return 3 + 0.5*float64(size) + float64(2*play-3) })
+	f := startSeries(t, runs).Fit
+	if f == nil {
+		t.Fatal("no line")
+	}
+	if !near(f.Intercept, 3) || !near(f.Slope, 0.5) || !near(f.MaxResidual, 1) || !near(f.Deviation, 1) || !near(f.Spread, 2) {
+		t.Errorf("got %+v", f)
+	}
+	if len(f.Residuals) != 8 || f.RSquared < 0.99 || f.RSquared >= 1 {
+		t.Errorf("got %+v", f)
+	}
+}
+
+func TestNoLineThroughTooLittle(t *testing.T) {
+	line := func(size, _ int) float64 { return float64(size) }
+	if startSeries(t, runsOf([]int{10, 20, 40}, 2, line)).Fit != nil {
+		t.Error("a line through three sizes")
+	}
+	if startSeries(t, runsOf([]int{10, 20, 40, 80}, 1, line)).Fit != nil {
+		t.Error("a line through single plays")
+	}
+	runs := runsOf([]int{10, 20, 40, 80}, 2, line)
+	runs[0].Saturated, runs[1].Stopped = true, "interrupted"
+	if s := startSeries(t, runs); s.Fit != nil || len(s.Points) != 6 {
+		t.Errorf("runs that are of no use are used: %+v", s)
+	}
+}
+
+func TestSpread(t *testing.T) {
+	var took []time.Duration
+	for i := 100; i > 0; i-- {
+		took = append(took, time.Duration(i)*time.Millisecond)
+	}
+	want := Spread{What: "x", Of: 102, Missing: 2, MedianMS: 50, P99MS: 99, LastMS: 100}
+	if got := NewSpread("x", 102, took); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if got := NewSpread("none", 3, nil); got.Missing != 3 || got.LastMS != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// An event costs what a phase spends beyond its time in the phase without events.
+func TestEventMetrics(t *testing.T) {
+	usage := func(cpu float64) []RoleUsage {
+		return []RoleUsage{{Role: HollowSidecar, Processes: 1, Units: 10, CPUSeconds: cpu}}
+	}
+	run := &Run{Phases: []Phase{
+		{Name: loadedPhase, Seconds: 10, Roles: usage(1)},
+		{Name: "changes", Seconds: 20, Events: 5, Roles: usage(3)},
+	}}
+	const name = "changes: hollow sidecar, processor time of an event"
+	for _, m := range run.Metrics() {
+		if m.Name == name {
+			if m.Unit != "ms" || !near(m.Value, 20) { // (3 - 2) s over 5 events and 10 sidecars
+				t.Errorf("got %+v", m)
+			}
+			return
+		}
+	}
+	t.Errorf("no metric %q", name)
+}
+
+func TestFilesTablesAndPlots(t *testing.T) {
+	runs := runsOf([]int{10, 20, 40, 80}, 2, func(size, _ int) float64 { return float64(size) })
+	directory := t.TempDir()
+	path := filepath.Join(directory, "runs.jsonl")
+	for _, run := range runs {
+		if err := Append(path, run); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read, err := Read(path)
+	if err != nil || len(read) != len(runs) || read[3].Startup.Seconds != 80 {
+		t.Fatalf("read %d runs, %v", len(read), err)
+	}
+	var table bytes.Buffer
+	if err := WriteTable(&table, read); err != nil {
+		t.Fatal(err)
+	}
+	if want := "| start: time to the last sidecar's being ready | s | 10.00 | 20.00 | 40.00 | 80.00 |"; !strings.Contains(table.String(), want) {
+		t.Errorf("no line %q in\n%s", want, table.String())
+	}
+	plot := filepath.Join(directory, "plot.svg")
+	if err := WritePlot(plot, read, []string{"start: time to the last sidecar's being ready"}); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := os.ReadFile(plot); err != nil || !bytes.Contains(text, []byte("<svg")) {
+		t.Errorf("the plot is no SVG: %v", err)
+	}
+	if err := WritePlot(plot, read, []string{"nonesuch"}); err == nil {
+		t.Error("a plot of nothing")
+	}
+	if err := os.WriteFile(path, []byte("{\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Read(path); err == nil {
+		t.Error("a broken file is read")
+	}
+}
--- /dev/null
+++ b/internal/emulator/sidecarlog/events_test.go
@@ -0,0 +1,78 @@
+package sidecarlog
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+)
+
+// both logs to events as a hosted sidecar does, and as a process does by its lines.
+func both(t *testing.T, log func(*slog.Logger), check func(*Events)) {
+	t.Helper()
+	hosted := New()
+	log(hosted.Logger().With("sidecar", "n0"))
+	check(hosted)
+	process := New()
+	log(slog.New(slog.NewTextHandler(onebyone{NewWriter(process)}, nil)).With("sidecar", "n0"))
+	check(process)
+}
+
+// onebyone writes a byte at a time.
+type onebyone struct{ to io.Writer }
+
+func (o onebyone) Write(text []byte) (int, error) {
+	for i := range text {
+		if _, err := o.to.Write(text[i : i+1]); err != nil {
+			return i, err
+		}
+	}
+	return len(text), nil
+}
+
+func TestConfigurationsInForce(t *testing.T) {
+	both(t, func(log *slog.Logger) {
+		log.Info("configuration in force", "generation", 1, "hash", "0123", "discovery", "127.0.0.1:1")
+		log.Info("counts", "hash", "no news")
+		log.Error("configuration not reloaded", "error", "a reason", "hash", "0123")
+		log.Info("configuration in force", "generation", 2, "hash", "4567")
+	}, func(e *Events) {
+		if c := e.Counts(); c.InForce != 2 || c.Refused != 1 {
+			t.Errorf("counts %+v", c)
+		}
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, met := e.Await(ended, InForce("0123")); met {
+			t.Error("the first configuration is still taken to be in force")
+		}
+		if at, met := e.Await(t.Context(), InForce("4567")); !met || at.IsZero() {
+			t.Error("the second configuration is not taken to be in force")
+		}
+	})
+}
+
+func TestLists(t *testing.T) {
+	e := New()
+	log := e.Logger()
+	met := make(chan bool)
+	go func() {
+		_, heard := e.Await(t.Context(), Heard(7))
+		met <- heard
+	}()
+	log.Debug("list heard", "seq", uint64(5), "whole", true, "hosts", 0)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, ready := e.Await(ended, Ready); ready {
+		t.Error("ready without an endpoint")
+	}
+	log.Debug("list heard", "seq", uint64(8), "whole", false, "hosts", 3)
+	if !<-met {
+		t.Error("a newer version does not count")
+	}
+	if _, ready := e.Await(t.Context(), Ready); !ready {
+		t.Error("not ready with endpoints")
+	}
+	if c := e.Counts(); c.WholeLists != 1 || c.Changes != 1 {
+		t.Errorf("counts %+v", c)
+	}
+}
