--- a/internal/emulator/endpoint/config.go
+++ b/internal/emulator/endpoint/config.go
@@ -20,6 +20,7 @@
 	QueueLimit  int           // requests that wait for a core; any more are turned away
 	ReportLoad  bool          // answers and /stats tell the load
 	LoadField   string        // what the load report calls the requests in flight; empty: inflight
+	IdleTimeout time.Duration // after which an idle connection is closed; 0: never
 
 	// From its start an endpoint that is cold has ColdShare of its capacity, which
 	// grows linearly to all of it over WarmUp. 0: always warm.
--- a/internal/emulator/fleet/layout.go
+++ b/internal/emulator/fleet/layout.go
@@ -101,6 +101,7 @@
 		QueueLimit:  file.Endpoint.QueueLimit,
 		ReportLoad:  true,
 		LoadField:   file.Sidecar.LoadField,
+		IdleTimeout: file.Sidecar.KeepAlive.Std(),
 		WarmUp:      file.Endpoint.WarmUp.Std(),
 		ColdShare:   file.Endpoint.ColdShare,
 	}
