Name lookups and the watch's restart by what they do

Cause: className returned a class, settle and enforce both put settings in force, moveWatch also restarts in place. Result: go test ./balancer ./cmd/simhost and the reload tests with -race pass.

--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -62,7 +62,7 @@
 
 // Learn goes on from what another process of this sidecar knew. It comes after Start and before any list.
 func (b *Balancer) Learn(l *Learned) {
-	known := func(w LearnedWork) bool { return b.className(w.Class) != nil }
+	known := func(w LearnedWork) bool { return b.classNamed(w.Class) != nil }
 	if !sound(l.Pace) || !slices.ContainsFunc(l.Works, known) {
 		return // of a process that knew nothing, or of other settings
 	}
@@ -77,7 +77,7 @@
 		b.usualCold = mean{l.UsualCold, usualGuess}
 	}
 	for _, w := range l.Works {
-		if c := b.className(w.Class); c != nil && sound(w.Work) {
+		if c := b.classNamed(w.Class); c != nil && sound(w.Work) {
 			c.work.v = w.Work
 		}
 	}
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -56,7 +56,7 @@
 // began under. Where that permitted more, r may lack the key by which endpoints drop a repeat: none may begin
 // any more. Of several attempts that may run, those that have not begun are withdrawn.
 func (b *Balancer) restrict(r *request) (withdrawn []AttemptID) {
-	if c := b.className(r.class.Name); c != nil && c.Repeat > r.repeat {
+	if c := b.classNamed(r.class.Name); c != nil && c.Repeat > r.repeat {
 		r.repeat = Unsafe
 	}
 	if r.repeat != Unsafe || r.mayRun() < 2 {
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -28,7 +28,7 @@
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, cordoned: map[uint64]bool{},
 		logged: map[string]Micros{},
 	}
-	b.settle(s)
+	b.applySettings(s)
 	return b, nil
 }
 
--- a/balancer/reconfigure.go
+++ b/balancer/reconfigure.go
@@ -8,7 +8,7 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	b.settle(s)
+	b.applySettings(s)
 	b.firstProbe()
 	var withdrawn []AttemptID
 	for _, r := range b.slots {
@@ -19,8 +19,8 @@
 	return withdrawn, nil
 }
 
-// settle puts settings in force.
-func (b *Balancer) settle(s Settings) {
+// applySettings puts settings in force.
+func (b *Balancer) applySettings(s Settings) {
 	classes := make([]*class, len(s.Classes))
 	for i, definition := range s.Classes {
 		classes[i] = b.classOf(definition)
@@ -41,8 +41,8 @@
 	b.s, b.classes, b.tenants = s, classes, tenants
 }
 
-// className returns the class in force of this name, or nil.
-func (b *Balancer) className(name string) *class {
+// classNamed returns the class in force of this name, or nil.
+func (b *Balancer) classNamed(name string) *class {
 	for _, c := range b.classes {
 		if c.Name == name {
 			return c
@@ -53,7 +53,7 @@
 
 // classOf returns a class as defined, with what is known of the one of its name.
 func (b *Balancer) classOf(definition Class) *class {
-	inForce := b.className(definition.Name)
+	inForce := b.classNamed(definition.Name)
 	switch {
 	case inForce == nil:
 		work := ewma{v: float64(definition.Aim) / 5, seen: true}
@@ -78,7 +78,7 @@
 	}
 	var owner *tenant
 	if int(in.Tenant) < len(s.Tenants) {
-		owner = b.tenantName(s.Tenants[in.Tenant].Name)
+		owner = b.tenantNamed(s.Tenants[in.Tenant].Name)
 	}
 	return b.classOf(s.Classes[in.Class]), owner
 }
@@ -91,8 +91,8 @@
 	return b.tenants[place]
 }
 
-// tenantName returns the tenant in force of this name, or nil.
-func (b *Balancer) tenantName(name string) *tenant {
+// tenantNamed returns the tenant in force of this name, or nil.
+func (b *Balancer) tenantNamed(name string) *tenant {
 	for _, t := range b.tenants {
 		if t.Name == name {
 			return t
--- a/balancer/reconfigure_test.go
+++ b/balancer/reconfigure_test.go
@@ -24,10 +24,10 @@
 	s := testSettings()
 	s.Tenants = []Tenant{{Name: "a", Allowance: 50}, {Name: "b", Allowance: 50}}
 	b, _ := start(t, s, ready(2))
-	b.className("read").work.v, b.className("write").work.v = 11, 22
-	b.tenantName("a").add(0, 30)
-	b.tenantName("b").add(0, 60)
-	rateA, rateB := b.tenantName("a").rate(0), b.tenantName("b").rate(0)
+	b.classNamed("read").work.v, b.classNamed("write").work.v = 11, 22
+	b.tenantNamed("a").add(0, 30)
+	b.tenantNamed("b").add(0, 60)
+	rateA, rateB := b.tenantNamed("a").rate(0), b.tenantNamed("b").rate(0)
 	reconfigure(t, b, func(s *Settings) {
 		slices.Reverse(s.Classes)
 		s.Classes = append(s.Classes, Class{Name: "new", Aim: 500, GiveUp: second})
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -150,7 +150,7 @@
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{}, marks: map[string]mark{},
 		stopWatch: func() {},
 	}
-	l.enforce(newSnapshot(cfg))
+	l.activate(newSnapshot(cfg))
 	var err error
 	l.balancer, err = balancer.New(cfg.Settings, cfg.Seed, l)
 	return l, err
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -40,11 +40,11 @@
 // the next one.
 type snapshot struct {
 	*Config
-	generation int
-	hash       string
-	classes    map[string]uint8  // places in the settings, by name
-	tenants    map[string]uint16 // the same
-	earlier    time.Time         // by when requests that began under earlier ones have their answers
+	generation   int
+	hash         string
+	classes      map[string]uint8  // places in the settings, by name
+	tenants      map[string]uint16 // the same
+	pendingUntil time.Time         // by when requests that began under earlier ones have their answers
 }
 
 // newSnapshot returns the first configuration of a sidecar.
@@ -65,7 +65,7 @@
 	next := newSnapshot(cfg)
 	next.hash = hash
 	next.generation = s.generation + 1
-	next.earlier = s.answeredBy(time.Now())
+	next.pendingUntil = s.answeredBy(time.Now())
 	return next
 }
 
@@ -76,8 +76,8 @@
 		longest = max(longest, c.GiveUp)
 	}
 	by = by.Add(time.Duration(longest) * time.Microsecond)
-	if by.Before(s.earlier) {
-		return s.earlier
+	if by.Before(s.pendingUntil) {
+		return s.pendingUntil
 	}
 	return by
 }
@@ -175,17 +175,17 @@
 	return parts
 }
 
-// movesWatch says whether discovery has to be asked anew under next: elsewhere, at another pace, or since its words
+// restartsWatch says whether discovery has to be asked anew under next: elsewhere, at another pace, or since its words
 // mean something else.
-func (c *Config) movesWatch(next *Config) bool {
+func (c *Config) restartsWatch(next *Config) bool {
 	was, is := &c.Settings, &next.Settings
 	return c.Discovery != next.Discovery || was.Subscribe != is.Subscribe ||
 		was.Contract.AskWithin != is.Contract.AskWithin || was.Contract.DrainGrace != is.Contract.DrainGrace ||
 		!slices.Equal(c.zones, next.zones) || !slices.Equal(c.kinds, next.kinds)
 }
 
-// enforce puts a configuration in force.
-func (l *loop) enforce(s *snapshot) {
+// activate puts a configuration in force.
+func (l *loop) activate(s *snapshot) {
 	l.cfg = s.Config
 	l.current.Store(s)
 }
@@ -210,14 +210,14 @@
 		l.refuse(err)
 		return
 	}
-	l.enforce(l.current.Load().replacedBy(merged, next.hash()))
+	l.activate(l.current.Load().replacedBy(merged, next.hash()))
 	l.withdraw(withdrawn)
 	l.up.configure(merged)
 	if old.Limits != merged.Limits && l.relimit != nil {
 		l.relimit()
 	}
-	if old.movesWatch(merged) {
-		l.moveWatch()
+	if old.restartsWatch(merged) {
+		l.restartWatch()
 	}
 	l.logConfiguration(old.changed(merged), restart)
 }
@@ -252,9 +252,9 @@
 	}
 }
 
-// moveWatch has discovery asked for its whole list by the configuration in force: versions may be another
+// restartWatch has discovery asked for its whole list by the configuration in force: versions may be another
 // service's.
-func (l *loop) moveWatch() {
+func (l *loop) restartWatch() {
 	old := l.disc
 	l.disc = newDiscovery(l.cfg)
 	l.from.after, l.from.settle = nil, time.Now().Add(olderMoved)
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -397,7 +397,7 @@
 	c := &Config{zones: []string{"a", "b"}}
 	next := &Config{zones: []string{"c", "b", "a"}, Settings: balancer.Settings{Zone: 1}}
 	got := c.succeededBy(next)
-	if !slices.Equal(got.zones, []string{"a", "b", "c"}) || got.Settings.Zone != 1 || !c.movesWatch(got) {
+	if !slices.Equal(got.zones, []string{"a", "b", "c"}) || got.Settings.Zone != 1 || !c.restartsWatch(got) {
 		t.Errorf("areas %v, own %d", got.zones, got.Settings.Zone)
 	}
 	if fresh := newSnapshot(next); newSnapshot(c).replacedBy(got, next.hash()).hash != fresh.hash {
