--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Learned is what a balancer has found out of the fleet. The next process of the same sidecar goes on from it: to
 // find it out again takes seconds, in which a first slow answer or two pass for what all endpoints are like.
@@ -14,11 +17,17 @@
 	ColdSlowness float64 `json:"Chill"`  // the file keeps the names that processes of earlier versions read
 	ColdSamples  int     `json:"Chills"` // answers that ColdSlowness is from
 
-	Works     []float64 // by class
+	Works     []LearnedWork
 	Ways      []LearnedWay
 	Endpoints []LearnedEndpoint
 }
 
+// LearnedWork is the mean work of a request of a class.
+type LearnedWork struct {
+	Class string
+	Work  float64
+}
+
 // LearnedWay is the way to a zone.
 type LearnedWay struct {
 	Zone    uint8
@@ -44,8 +53,8 @@
 		Usual: b.usual.v, UsualCold: b.usualCold.v,
 		ColdSlowness: b.coldSlowness.v, ColdSamples: b.coldSamples,
 	}
-	for i := range b.classes {
-		l.Works = append(l.Works, b.classes[i].work.v)
+	for _, c := range b.classes {
+		l.Works = append(l.Works, LearnedWork{c.Name, c.work.v})
 	}
 	for zone := range b.ways {
 		if w := &b.ways[zone]; w.n > 0 {
@@ -62,7 +71,8 @@
 
 // Learn goes on from what another process of this sidecar knew. It comes after Start and before any list.
 func (b *Balancer) Learn(l *Learned) {
-	if !sound(l.Pace) || len(l.Works) != len(b.classes) {
+	known := func(w LearnedWork) bool { return b.classNamed(w.Class) != nil }
+	if !sound(l.Pace) || !slices.ContainsFunc(l.Works, known) {
 		return // of a process that knew nothing, or of other settings
 	}
 	b.fleet = ewma{l.Pace, true}
@@ -76,9 +86,9 @@
 	if sound(l.UsualCold) {
 		b.usualCold = mean{l.UsualCold, usualGuess}
 	}
-	for i, work := range l.Works {
-		if sound(work) {
-			b.classes[i].work.v = work
+	for _, w := range l.Works {
+		if c := b.classNamed(w.Class); c != nil && sound(w.Work) {
+			c.work.v = w.Work
 		}
 	}
 	for _, known := range l.Ways {
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -55,7 +55,7 @@
 
 // learnPace learns from a latency; atLeast says that it is only a lower bound.
 func (b *Balancer) learnPace(now Micros, r *request, a *attempt, latency float64, atLeast bool) {
-	e, c := a.ep, &b.classes[r.Class]
+	e, c := a.ep, r.class
 	alone := max(0, latency-b.ways[e.Zone].v) / a.crowding
 	// What a request of next to no work takes beyond the prediction was not spent on that work.
 	pace, slowed := e.paceNow(now, b), e.slowed(now, b)
@@ -83,7 +83,7 @@
 	if !r.HasHint {
 		// Without hints a class's work is its mean latency on an endpoint without a queue. Pace and work grow by
 		// the same answer, and the prediction by their product: one must not do much to the work.
-		least, most := minWork*float64(b.class(r).Aim), trendStep*c.work.v
+		least, most := minWork*float64(c.Aim), trendStep*c.work.v
 		c.work.add(min(max(least, alone), most), workWeight)
 	}
 	if !e.isCold {
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"time"
 
 	"peatpost/balancer"
@@ -46,9 +45,9 @@
 func (r *refusal) Error() string { return r.reason }
 
 func newAdmin(s *server) *admin {
-	cfg := s.loop.cfg
-	a := &admin{server: s, store: &store{dir: os.TempDir(), sidecar: cfg.Name, log: s.loop.log,
-		keep: time.Duration(cfg.Settings.Contract.RampTime) * time.Microsecond, hold: s.hold}}
+	cfg := s.loop.current.Load()
+	a := &admin{server: s, store: &store{dir: cfg.Host.Directory, sidecar: cfg.Name, log: s.loop.log,
+		keep: s.loop.rampTime, hold: s.hold}}
 	a.calls = map[string]call{
 		"/admin/health":   {http.MethodGet, a.health},
 		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"syscall"
 	"time"
 )
@@ -101,10 +100,27 @@
 
 // share limits this process to one of n equal parts of the sidecar's limits.
 func (s *server) share(n int) {
-	cfg := s.loop.cfg
+	s.limits.Lock()
+	defer s.limits.Unlock()
+	s.processes = n
+	s.limit()
+}
+
+// relimit has limits that have changed hold.
+func (s *server) relimit() {
+	s.limits.Lock()
+	defer s.limits.Unlock()
+	s.limit()
+}
+
+// limit sets this process's part of the limits. It holds s.limits.
+func (s *server) limit() {
+	cfg, n := s.loop.current.Load(), s.processes
 	most := max(minConnections, (cfg.Limits.Sockets/n-socketSpare)/2)
 	s.clients.limit(most, cfg.Limits.Sockets/crowdPart/n)
 	s.loop.up.limit(most)
 	s.loop.up.room.most.Store(int64(cfg.Limits.MemoryMB) << 20 / bodiesPart / int64(n))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * heapPart / int64(n))
+	if limit := cfg.Host.LimitMemory; limit != nil {
+		limit(int64(cfg.Limits.MemoryMB) << 20 / 10 * heapPart / int64(n))
+	}
 }
--- a/internal/sidecar/loadreport.go
+++ b/internal/sidecar/loadreport.go
@@ -13,17 +13,18 @@
 // loadReport reads name=value pairs into the order of the settings. A figure
 // that is missing, repeated, malformed or beyond all sense is not a number,
 // which the balancer skips: it keeps what it knew.
-func (u *upstream) loadReport(text string) []float32 {
-	if text == "" || len(u.fields) == 0 {
-		return nil
+func (u *upstream) loadReport(text string) ([]float32, *reportFormat) {
+	report := u.report.Load()
+	if text == "" || len(report.fields) == 0 {
+		return nil, report
 	}
-	load, seen := make([]float32, len(u.fields)), make([]bool, len(u.fields))
+	load, seen := make([]float32, len(report.fields)), make([]bool, len(report.fields))
 	for i := range load {
 		load[i] = float32(math.NaN())
 	}
 	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
 		name, value, _ := strings.Cut(pair, "=")
-		i := slices.Index(u.fields, name)
+		i := slices.Index(report.fields, name)
 		if i < 0 {
 			continue
 		}
@@ -33,5 +34,5 @@
 		}
 		load[i], seen[i] = float32(v), true
 	}
-	return load
+	return load, report
 }
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -57,7 +57,8 @@
 		return c, err
 	}
 	start := time.Now()
-	raw, err := u.dialer.DialContext(ctx, "tcp", t.address)
+	dialer := u.currentDialer()
+	raw, err := dialer.DialContext(ctx, "tcp", t.address)
 	u.mu.Lock()
 	u.dialTime += time.Since(start)
 	if err != nil {
@@ -74,6 +75,13 @@
 	return c, nil
 }
 
+// currentDialer returns the dialer with the time-out in force.
+func (u *upstream) currentDialer() net.Dialer {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.dialer
+}
+
 // reserve returns an idle connection, or none with the right to open one. Where lists
 // are long, probes alone could hold all that may be open: they leave some to requests.
 func (u *upstream) reserve(t *target, probe bool) (*conn, error) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peatpost/balancer"
@@ -25,8 +26,8 @@
 	dialer  net.Dialer
 	maxIdle time.Duration // idle connections are not used for longer,
 	rest    time.Duration // nor for so long after an answer
-	fields  []string      // of load reports
-	room    *budget       // for the bodies of answers
+	report  atomic.Pointer[reportFormat]
+	room    *budget // for the bodies of answers
 
 	mu                  sync.Mutex
 	open                int // connections, those being dialled included
@@ -45,6 +46,7 @@
 	length int64  // of the whole, -1 if unknown
 	held   func() // gives back the room for body
 	load   []float32
+	report *reportFormat // that load is in
 	took   time.Duration // from the write to the end, without the time to connect
 	times  attemptTimes
 }
@@ -62,12 +64,24 @@
 type unsentError struct{ error }
 
 func newUpstream(cfg *Config, connections int, room *budget) *upstream {
-	return &upstream{
-		dialer: net.Dialer{Timeout: time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond},
-		// An endpoint closes an idle connection when its time is over at the
-		// latest, and what is written to it from then on is lost.
-		maxIdle: cfg.idle * 3 / 4, rest: answerPause,
-		fields: cfg.fields, room: room, most: connections, idle: map[*target][]*conn{},
+	u := &upstream{rest: answerPause, room: room, most: connections, idle: map[*target][]*conn{}}
+	u.configure(cfg)
+	return u
+}
+
+// reportFormat names the figures of a load report, in the order of Settings.Fields.
+type reportFormat struct{ fields []string }
+
+// configure takes up what a configuration says of endpoints and connections to them.
+func (u *upstream) configure(cfg *Config) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dialer.Timeout = time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond
+	// An endpoint closes an idle connection when its time is over at the
+	// latest, and what is written to it from then on is lost.
+	u.maxIdle = cfg.idle * 3 / 4
+	if old := u.report.Load(); old == nil || !slices.Equal(old.fields, cfg.fields) {
+		u.report.Store(&reportFormat{cfg.fields})
 	}
 }
 
@@ -101,7 +115,7 @@
 	default:
 		response := got.response
 		r.times.written = got.written
-		r.load = u.loadReport(response.Header.Get("X-Backend-Load"))
+		r.load, r.report = u.loadReport(response.Header.Get("X-Backend-Load"))
 		switch code := response.StatusCode; {
 		case code == http.StatusOK:
 			r.status, r.header, r.body = balancer.OK, response.Header, got.body
@@ -139,12 +153,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address, probe: true}
-	if len(u.fields) > 0 {
+	if len(u.report.Load().fields) > 0 {
 		m.url.Path = "/stats"
 	}
 	r := u.attempt(ctx, t, m, &gate{})
 	if r.status == balancer.OK {
-		r.load = u.loadReport(string(r.body))
+		r.load, r.report = u.loadReport(string(r.body))
 		(&answer{rest: r.rest, held: r.held}).close()
 	}
 	return r
