Share the set-up of tests that stood two and three times

Cause: two tests of processes on a passed socket and three of requests in hand each wrote the same set-up. Change: passedSocket launches such processes, payWaits is the endpoint that keeps requests of class pay waiting. What the tests check stays; the health of a second process is asked on a new connection each time in both.

--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -170,43 +170,62 @@
 	}
 }
 
-// While the first process serves, a second one takes the same socket, says that
-// it is ready at its own second address, and goes on when the first is ended.
-func TestReplacedOnThePassedSocket(t *testing.T) {
+// passedSocket is a clients' socket that the processes of one sidecar inherit, and the folder that they share.
+type passedSocket struct {
+	address string
+	file    *os.File
+	folder  string
+}
+
+func newPassedSocket(t *testing.T) *passedSocket {
+	t.Helper()
 	held, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer held.Close()
+	t.Cleanup(func() { held.Close() })
 	file, err := held.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
-	answers := func(url string) func() bool {
-		return func() bool {
-			response, err := http.Get(url)
-			if err != nil {
-				return false
-			}
-			response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		}
+	t.Cleanup(func() { file.Close() })
+	return &passedSocket{held.Addr().String(), file, t.TempDir()}
+}
+
+// launch starts a process on the socket, and returns what tells the status of its health.
+func (s *passedSocket) launch(t *testing.T, text string) (cmd *exec.Cmd, health func() int) {
+	t.Helper()
+	second := freeAddress(t)
+	cmd = command(t, text)
+	cmd.ExtraFiles = []*os.File{s.file}
+	cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "BALANCER_ADMIN_ADDR="+second, "TMPDIR="+s.folder)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	return cmd, func() int { return code("http://" + second + "/admin/health") }
+}
+
+// While the first process serves, a second one takes the same socket, says that
+// it is ready at its own second address, and goes on when the first is ended.
+func TestReplacedOnThePassedSocket(t *testing.T) {
+	socket := newPassedSocket(t)
 	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
-	shared := t.TempDir()
 	launch := func() (*exec.Cmd, func() bool) {
-		second := freeAddress(t)
-		cmd := command(t, config("127.0.0.1:1")) // an address that it could not listen on
-		cmd.ExtraFiles = []*os.File{file}
-		cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "BALANCER_ADMIN_ADDR="+second, "TMPDIR="+shared)
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
+		cmd, health := socket.launch(t, config("127.0.0.1:1")) // an address that it could not listen on
+		return cmd, func() bool { return health() == http.StatusOK }
+	}
+	clients := func() bool { // over a connection that is kept, unlike code's
+		response, err := http.Get("http://" + socket.address + "/health/ready")
+		if err != nil {
+			return false
 		}
-		t.Cleanup(func() { cmd.Process.Kill() })
-		return cmd, answers("http://" + second + "/admin/health")
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
 	}
-	clients := answers("http://" + held.Addr().String() + "/health/ready")
 	first, healthy := launch()
 	await(t, "the first process to be ready", healthy)
 	await(t, "the clients' side", clients)
@@ -231,36 +250,12 @@
 
 // A second process that never becomes ready takes no client from the first.
 func TestProcessThatIsNeverReadyTakesNobody(t *testing.T) {
-	held, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer held.Close()
-	file, err := held.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	shared := t.TempDir()
-	launch := func(text string) (cmd *exec.Cmd, health func() int) {
-		second := freeAddress(t)
-		cmd = command(t, text)
-		cmd.ExtraFiles = []*os.File{file}
-		cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "BALANCER_ADMIN_ADDR="+second, "TMPDIR="+shared)
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() {
-			cmd.Process.Kill()
-			cmd.Wait()
-		})
-		return cmd, func() int { return code("http://" + second + "/admin/health") }
-	}
-	_, first := launch(config("127.0.0.1:1"))
+	socket := newPassedSocket(t)
+	_, first := socket.launch(t, config("127.0.0.1:1"))
 	await(t, "the first process to be ready", func() bool { return first() == http.StatusOK })
 	known := config("127.0.0.1:1")
 	from, to := strings.Index(known, `[{"host"`), strings.Index(known, `]},`)
-	cmd, second := launch(known[:from+1] + known[to:])
+	cmd, second := socket.launch(t, known[:from+1]+known[to:])
 	await(t, "the second process to answer", func() bool { return second() == http.StatusServiceUnavailable })
 	ended := make(chan error, 1)
 	for i := range 400 {
@@ -270,7 +265,7 @@
 			}
 			go func() { ended <- cmd.Wait() }()
 		}
-		if got := code("http://" + held.Addr().String() + "/health/ready"); got != http.StatusOK {
+		if got := code("http://" + socket.address + "/health/ready"); got != http.StatusOK {
 			t.Fatalf("connection %d: %d", i, got)
 		}
 	}
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -298,14 +298,7 @@
 // all of it. Calls repeated change nothing.
 func TestDrainByHand(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.next(in); r != nil; r = e.next(in) {
-			if strings.HasPrefix(r.RequestURI, "/pay") {
-				<-answer
-			}
-			io.WriteString(conn, served)
-		}
-	})
+	e := newEndpoint(t, payWaits(answer))
 	w := start(t, nil, ready("s-1", e.address))
 	address := w.second(t.TempDir())
 	front := func() int { return status(t, "GET", strings.TrimPrefix(w.url, "http://"), "/health/ready") }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -250,14 +250,7 @@
 // request open is not.
 func TestConnectionsOfClientsAreBounded(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.next(in); r != nil; r = e.next(in) {
-			if strings.HasPrefix(r.RequestURI, "/pay") {
-				<-answer
-			}
-			io.WriteString(conn, served)
-		}
-	})
+	e := newEndpoint(t, payWaits(answer))
 	w := start(t, nil, ready("s-1", e.address))
 	first := make(chan reply)
 	go func() { first <- w.send(w.request("pay", "x", time.Minute)) }()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -334,14 +334,7 @@
 // ones still come for a while, and the sidecar ends without error.
 func TestTermination(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.next(in); r != nil; r = e.next(in) {
-			if strings.HasPrefix(r.RequestURI, "/pay") {
-				<-answer
-			}
-			io.WriteString(conn, served)
-		}
-	})
+	e := newEndpoint(t, payWaits(answer))
 	w := start(t, nil, ready("s-1", e.address))
 	w.server.acceptFor = 3 * time.Second // a busy machine may be slow to connect
 	idle, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -113,6 +113,18 @@
 	full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
+// payWaits serves every request, those of class pay only once answer yields.
+func payWaits(answer <-chan struct{}) func(*endpoint, net.Conn, *bufio.Reader) {
+	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for r := e.next(in); r != nil; r = e.next(in) {
+			if strings.HasPrefix(r.RequestURI, "/pay") {
+				<-answer
+			}
+			io.WriteString(conn, served)
+		}
+	}
+}
+
 // silent takes requests and never answers.
 func silent(e *endpoint, conn net.Conn, in *bufio.Reader) {
 	for e.next(in) != nil {
