Keep a restarted endpoint in the pool once

Cause: a restart cleared the mark that an endpoint stands in the pool while it still did. Its next report before a pick put it there a second time. Change: restarts and endpoints put back by hand both go through endpoint.reset, which keeps the mark. Two comments of membership.go are shorter.

--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -52,8 +52,7 @@
 	}
 	restarted := !fresh && in.StartTime != 0 && in.StartTime != e.StartTime
 	if restarted {
-		// A new process owes nothing to the old one's record.
-		*e = endpoint{inflight: e.inflight, writing: e.writing}
+		e.reset()
 	}
 	e.out = b.cordoned[in.Name]
 	started := in.StartTime
@@ -72,9 +71,8 @@
 	}
 }
 
-// Cordon leaves out every endpoint of this name, whatever discovery says of it, or ends that. What was out by
-// hand was likely restarted: it comes back as a new process that owes nothing to the old one's record, cold
-// since then.
+// Cordon leaves out every endpoint of this name, whatever discovery says of it, or ends that. What comes back
+// was likely restarted: it begins as a new process, cold since then.
 func (b *Balancer) Cordon(now Micros, name uint64, out bool, since Micros) {
 	if out {
 		b.cordoned[name] = true
@@ -86,8 +84,7 @@
 			continue
 		}
 		if e.out = out; !out {
-			*e = endpoint{Endpoint: e.Endpoint, seen: e.seen, pooled: e.pooled, inflight: e.inflight,
-				writing: e.writing}
+			e.reset()
 			if now-since < b.s.Contract.RampTime {
 				b.beginSlowStart(now, e, since)
 				// Staff wait to see it serve. One request each is soon more than it can bear.
@@ -125,8 +122,7 @@
 	}
 }
 
-// retryAsk asks discovery again, later each time and never in step with others, but in time for the change
-// that the call which failed may have missed: see HearWithin.
+// retryAsk asks discovery again with a growing, random delay, but in time for HearWithin.
 func (b *Balancer) retryAsk(now Micros) {
 	if b.s.Subscribe {
 		first := b.s.Contract.AskWithin / 20
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -363,6 +363,11 @@
 	b.out.Log(fmt.Sprintf(format, args...))
 }
 
+// reset forgets what is known of e but its listing and what is out there: a new process has none of the old record.
+func (e *endpoint) reset() {
+	*e = endpoint{Endpoint: e.Endpoint, seen: e.seen, pooled: e.pooled, inflight: e.inflight, writing: e.writing}
+}
+
 // usable says whether e may be sent to at all.
 func (e *endpoint) usable() bool { return e.State == Ready && !e.out }
 
