Shorten the comments of the decision module

Change: comments in pick, prediction, probing and slowstart say the same in ordinary terms and fewer lines.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -29,8 +29,7 @@
 func (b *Balancer) cost(now Micros, r *request, e *endpoint) float64 {
 	aim := float64(b.class(r).Aim)
 	expected := b.predict(now, e, r.work)
-	// One that answers in time goes first, if far or failing. One that only turns some away goes ahead of one
-	// that is too late: nothing of what it turns away has run, and what it takes in is answered.
+	// An endpoint that only rejects some goes ahead of a late one: what it rejects has not run.
 	ejected := e.ejected(now) && e.turned.v < maxRejectedShare
 	c := expected + (e.failing(now)+share(ejected)+share(expected > b.room(now, r, e)))*aim
 	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(e)
@@ -63,11 +62,9 @@
 	return last
 }
 
-// home returns the endpoint of least cost among the two that the request's key names, the same at every
-// balancer, or of the next two where it would be too late there, or nil. A picture of the whole fleet shows
-// the same quiet endpoints to all balancers, and they all go there; these few differ from key to key, and
-// have met theirs lately. Where own answers are few, what the pool has to show beyond them is old: what is
-// too late at all four is then refused there, or it would only take the time of others without their keys.
+// home returns the endpoint of least cost among the first two that the request's key names, the same at every
+// balancer, else of the next two where the first would be too late, else nil. Where own reports are few, the
+// pool is too old to do better: the first is returned even if late, and the request is refused there.
 func (b *Balancer) home(now Micros, r *request, not *endpoint) *endpoint {
 	if !b.s.WarmKeys || r.Key == 0 {
 		return nil
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -19,10 +19,9 @@
 	trendLife   = second
 )
 
-// load is the last answer plus own sends since, less own answers since. Where a pool of the whole fleet is
-// kept, half of the other balancers are held to send as we do: they hold that answer, too, and would all
-// pile up where it is low. Answers asked for one request are our own: nobody else acts on them. Late answers
-// tell nothing of this moment, but their mean still tells at which endpoints others are more than elsewhere.
+// load estimates the requests at e: the last report plus own sends since, less own answers since. Where
+// balancers keep a pool, half of the others are assumed to send as this one, or all would choose the same
+// low report. Late reports do not tell the present load, but their mean still ranks the endpoints.
 func (b *Balancer) load(e *endpoint) float64 {
 	if b.reportsLate || !e.hasLoad {
 		usual := b.usual.v
@@ -40,8 +39,8 @@
 	return max(1, (b.load(e)+1)/cores)
 }
 
-// paceNow is e's time per unit of work, longer while it is cold. Unseen for long, it
-// is the fleet's, so that an endpoint once thought slow is tried again.
+// paceNow is e's time per unit of work, longer while it is cold. Without recent samples it returns to the
+// fleet's, so that an endpoint once found slow is tried again.
 func (e *endpoint) paceNow(now Micros, b *Balancer) float64 {
 	usual := b.fleet.or(1)
 	trust := max(0, 1-float64(now-e.paceAt)/float64(paceLife)) * share(e.pace.seen)
@@ -81,8 +80,8 @@
 		return
 	}
 	if !r.HasHint {
-		// Without hints a class's work is its mean latency on an endpoint without a queue. Pace and work grow by
-		// the same answer, and the prediction by their product: one must not do much to the work.
+		// Without hints a class's work is its mean latency without a queue. One answer raises pace and work, and
+		// the prediction by their product: its effect on the work is bounded.
 		least, most := minWork*float64(b.class(r).Aim), trendStep*c.work.v
 		c.work.add(min(max(least, alone), most), workWeight)
 	}
@@ -91,10 +90,9 @@
 	}
 }
 
-// follow shifts what is expected of every endpoint by one outcome: when the whole fleet turns slow, or
-// recovers, the paces of endpoints that see little of our traffic are learned far too late. The outcome is
-// held against what its endpoint's pace and load alone made expected: with the trend in that as well, all
-// that were sent before it rose would raise it again, far beyond the slowness that there is.
+// follow moves the trend by one outcome: when the whole fleet slows down or recovers, the paces of endpoints
+// with little traffic of ours are learned late. ratio is the latency over the prediction without the trend,
+// or requests sent before the trend rose would raise it a second time.
 func (b *Balancer) follow(now Micros, ratio float64) {
 	trend := b.trendNow(now)
 	b.trend, b.trendAt = trend+(min(ratio, trendStep)-trend)*trendWeight, now
@@ -104,8 +102,7 @@
 	return 1 + (b.trend-1)*math.Exp(-float64(now-b.trendAt)/float64(trendLife))
 }
 
-// slowdown is the trend beyond what chance makes of it. It fades as long as little or nothing is answered:
-// refusals that it causes would else keep away the very outcomes that show its end.
+// slowdown is the trend beyond noise. It decays without outcomes: refusals must not keep it up.
 func (b *Balancer) slowdown(now Micros) float64 {
 	return max(1, b.trendNow(now)/trendNoise)
 }
--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -52,8 +52,7 @@
 	}
 	wait := min(holdPart*float64(b.class(r).Aim), float64(r.Deadline-now)/4)
 	for i := range int(b.asks) {
-		// One of its own zone, and others whose answer can come in time: from afar it would come too late,
-		// and an endpoint heard of so late would serve late. While much is refused, a way out is looked for.
+		// One of its own zone, and others whose answer can come in time; farther ones while much is refused.
 		far := wait / 2
 		if i == 0 {
 			far = 0
@@ -108,8 +107,8 @@
 // probeRound probes a few random ready endpoints and arms the next round.
 func (b *Balancer) probeRound(now Micros) {
 	rate := b.probeRate(now)
-	// Where a turn of the fleet takes too long for a fresh pool, and own in-flight tells little, probes go with
-	// requests instead: a pool of old answers sends everyone to endpoints that were quiet long ago.
+	// Where a round of the fleet takes too long for a fresh pool, and own in-flight counts tell little, probes
+	// go with requests instead.
 	size, own := float64(len(b.list)), b.demand.rate(now)*b.classes[0].work.v/float64(second)
 	b.sparse = b.asks >= 1 && size*float64(second) > rate*float64(poolAge) && own < ownTells*size
 	if b.sparse {
@@ -187,14 +186,12 @@
 		}
 		e.mean.add(e.others, meanWeight)
 		if b.waits.v > waitsTell && line < minQueued && b.usual.v < cores {
-			// Probes wait in line here, and this one found none, whatever an old report says. In a fleet that
-			// is busy all over it is chance: the report tells more.
+			// Probes queue here, and this one did not, whatever an old report says.
 			e.others = min(e.others, cores-1)
 		}
 	}
 	b.heard(now, e)
-	// An answer that counts fewer than we alone have there is late, unless some are
-	// still on their way. If that happens often, the pool misleads: averages serve then.
+	// A report of fewer than we have there is late, unless some are on their way; averages serve if many are.
 	if own := e.inflight; hasHeld && own > 0 && float64(now-e.sentAt) > settleTrips*b.ways[e.Zone].v {
 		b.lag.add(share(held+0.5 < float64(own)), shareWeight)
 		if b.lag.v > maxLateShare && !b.reportsLate || b.lag.v < maxLateShare/3 && b.reportsLate {
@@ -204,10 +201,8 @@
 	}
 }
 
-// thin says that a turn of the whole list by own probes takes longer than answers are of use. One of many
-// balancers, with its small share of the requests and so of the probes, sees each endpoint once a minute:
-// most of what it sends goes by the usual load, and a few odd answers in that would refuse all, as if every
-// endpoint were busy. Without probes, or figures in them, own requests in flight are all that is known.
+// thin says that a round of the whole list by own probes takes longer than reports last. Most sends then
+// go by the usual load, which a few odd reports must not move.
 func (b *Balancer) thin(now Micros) bool {
 	return b.s.Limits.Probes && len(b.s.Fields) > 0 &&
 		float64(len(b.list))/b.probeRate(now) > poolRounds*float64(poolAge)/float64(second)
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -1,10 +1,10 @@
 package balancer
 
 // Slow start: how much work goes to endpoints that are warming up.
-
-// Slow start: the cold endpoints together get a share of what their warmth makes of our own mean work per
-// warm endpoint, each in its turn; a send is charged a little more than its work. No balancer knows of the
-// others: with warm ones at a load r of what they can do, all together send one in OverloadFor no more than
+//
+// The cold endpoints together get a share of the mean work per warm endpoint, by their warmth, each in its
+// turn; a send is charged a little more than its work. Balancers do not know each other: with warm ones at
+// a load r of what they can do, all together send one in OverloadFor no more than
 // coldShare x (1 + warmthMore) / coldCharge = 0.28 x 2 / 1.15 = 0.49 of N x r, N being what it may get. None
 // begins with a whole send saved, so that this comes evenly; N + 2 root N + 2 make it fall. One put back by
 // hand gets up to 2 from each of min(10, 1 + 0.4 N) on top: 2 + 1.29 N up to N = 22, then 20 + 0.49 N.
@@ -22,9 +22,8 @@
 
 // beginSlowStart marks e as warming up since then.
 func (b *Balancer) beginSlowStart(now Micros, e *endpoint, since Micros) {
-	// A quiet balancer takes long to earn one send: all start somewhere on that way, and with another
-	// endpoint, or none would send anything while it is cold. What they saved meanwhile would come at once,
-	// and an endpoint with nothing to its name would get all until it has as much as the others.
+	// A quiet balancer takes long to earn one send: each starts at a random point of that, and with a random
+	// endpoint. A new endpoint starts at the level of the others, or it would get all until it has caught up.
 	unit := coldCharge * b.classes[0].work.v
 	e.isCold, e.coldFrom = true, min(since, now)
 	e.taken = b.level*e.warmth(now, b) - b.rng.float()*unit
