--- a/internal/emulator/result/metrics.go
+++ b/internal/emulator/result/metrics.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// loadedPhase is the phase with load and nothing else, which others are held against.
-const loadedPhase = "loaded"
+// Phases that others are held against.
+const (
+	restPhase   = "rest"   // nothing happens
+	loadedPhase = "loaded" // requests come, and nothing else happens
+)
 
 // Metric is one figure of a run.
 type Metric struct {
@@ -23,6 +26,9 @@
 		{"run: memory of all processes, peak", "MB", r.PeakMemoryMB},
 	}
 	baseline := r.phase(loadedPhase)
+	if rest := r.phase(restPhase); rest != nil && baseline != nil {
+		metrics = append(metrics, baseline.requestCosts(rest)...)
+	}
 	for i := range r.Phases {
 		phase := &r.Phases[i]
 		metrics = append(metrics, phase.roleMetrics()...)
@@ -112,6 +118,27 @@
 		p.named(p.Through.P99MS-p.Direct.P99MS, "ms", "added to direct calls, p99"))
 }
 
+// requestCosts tell what a request costs a sidecar and an endpoint, beyond what they
+// spend at rest.
+func (p *Phase) requestCosts(rest *Phase) []Metric {
+	if p.Through == nil || p.Through.Counts.Served == 0 || p.Endpoints.Requests == 0 {
+		return nil
+	}
+	var metrics []Metric
+	for _, each := range []struct {
+		role     Role
+		requests uint64
+	}{{RealSidecar, p.Through.Counts.Served}, {Endpoint, p.Endpoints.Requests}} {
+		usage, usual := p.Usage(each.role), rest.Usage(each.role)
+		if usage == nil || usual == nil {
+			continue
+		}
+		beyond := usage.CPUSeconds - usual.CPUSeconds/rest.Seconds*p.Seconds
+		metrics = append(metrics, p.named(beyond*1e6/float64(each.requests), "µs", "%s, processor time of a request", each.role))
+	}
+	return metrics
+}
+
 func (p *Phase) spreadMetrics() []Metric {
 	var metrics []Metric
 	for _, s := range p.Spreads {
