--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -39,9 +39,8 @@
 			c.Group == GroupCell && e.Cell == first.cell)
 }
 
-// latest is the instant up to which an attempt at e may begin, or 0 where only the deadline counts. A keyed
-// repeat has to arrive while its group still drops it, counted from when the first attempt was sent at the
-// earliest; what is decided in time may wait for a connection for longer than that.
+// latest is the instant up to which an attempt at e may begin, or 0 where only the deadline counts: a keyed
+// repeat, which may wait for a connection, has to arrive while its group still drops it.
 func (b *Balancer) latest(r *request, e *endpoint) Micros {
 	c, first := b.class(r), r.bound()
 	if first == nil || c.Repeat != Keyed {
@@ -101,8 +100,7 @@
 	var after Micros
 	if b.s.Limits.RetryAfter {
 		// Spread the returns, and let them come while an answer is still wanted.
-		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).Aim))
-		after = min(after, b.s.Limits.MaxRetryAfter)
+		after = min(Micros((0.1+0.2*b.rng.float())*float64(b.class(r).Aim)), b.s.Limits.MaxRetryAfter)
 	}
 	b.stats.Refused++
 	b.out.Refuse(r.ID, after)
@@ -133,8 +131,7 @@
 	r.stream = true
 }
 
-// Written handles the last byte of a request that is passed on while it comes: its time counts from here, and
-// so does its attempt's.
+// Written handles the last byte of a request that is passed on while it comes: its time counts from here.
 func (b *Balancer) Written(now Micros, id uint64, deadline Micros) {
 	r := b.requests[id]
 	if r == nil || r.ended || len(r.attempts) == 0 {
--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -74,11 +74,7 @@
 // Cordon leaves out every endpoint of this name, whatever discovery says of it, or ends that. What comes back
 // was likely restarted: it begins as a new process, cold since then.
 func (b *Balancer) Cordon(now Micros, name uint64, out bool, since Micros) {
-	if out {
-		b.cordoned[name] = true
-	} else {
-		delete(b.cordoned, name)
-	}
+	b.cordoned[name] = out
 	for _, e := range b.list {
 		if e.Name != name || e.out == out {
 			continue
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -69,23 +69,19 @@
 	if !b.s.WarmKeys || r.Key == 0 {
 		return nil
 	}
-	type named struct {
-		e     *endpoint
-		score float64
-	}
-	var top [2 * homesEach]named // at home and elsewhere
+	var top [2 * homesEach]choice // at home and elsewhere
 	for _, e := range b.list {
 		if !e.usable() || e.ejected(now) || e.cold(now, b) {
 			continue // a cold one knows no keys
 		}
 		// The larger an endpoint, the more keys name it.
-		at := named{e, max(0.01, float64(e.Share)) / -math.Log(chance(r.Key, e.Name))}
+		at := choice{e, -math.Log(chance(r.Key, e.Name)) / max(0.01, float64(e.Share))}
 		side := top[:homesEach]
 		if int(e.Zone) != b.s.Zone {
 			side = top[homesEach:]
 		}
 		for rank := range side {
-			if at.score > side[rank].score {
+			if at.e != nil && (side[rank].e == nil || at.cost < side[rank].cost) {
 				side[rank], at = at, side[rank]
 			}
 		}
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -2,11 +2,10 @@
 
 // Slow start: how much work goes to endpoints that are warming up.
 //
-// The cold endpoints together get a share of the mean work per warm endpoint, by their warmth, each in its
-// turn; a send is charged a little more than its work. Balancers do not know each other: with warm ones at
-// a load r of what they can do, all together send one in OverloadFor no more than
-// coldShare x (1 + warmthMore) / coldCharge = 0.28 x 2 / 1.15 = 0.49 of N x r, N being what it may get. None
-// begins with a whole send saved, so that this comes evenly; N + 2 root N + 2 make it fall. One put back by
+// Cold endpoints together get a share of the mean work per warm endpoint, by their warmth, in turn; a send
+// is charged a little more than its work. With warm endpoints at a load r of what they can do, all balancers
+// together send a cold one in OverloadFor up to coldShare x (1 + warmthMore) / coldCharge = 0.49 of N r, N
+// being what it may get. None begins with a whole send saved; N + 2 root N + 2 make it fall. One put back by
 // hand gets up to 2 from each of min(10, 1 + 0.4 N) on top: 2 + 1.29 N up to N = 22, then 20 + 0.49 N.
 const (
 	coldShare          = 0.28 // of the multiple at which it falls over
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -21,7 +21,7 @@
 	byID         map[uint32]*endpoint
 	known        map[uint64]LearnedEndpoint // by name, until listed
 	list         []*endpoint                // known endpoints in the order first heard of
-	cordoned     map[uint64]bool            // names of endpoints that are left out by hand
+	cordoned     map[uint64]bool            // by name: whether operators have left it out
 	listed       bool                       // discovery has answered since the start
 	pool         []*endpoint                // endpoints with a fresh answer
 	turn         *endpoint                  // the cold one that may be sent to next
