Take the choice of a connection apart

Cause: reserve searched the idle connections, closed the stale ones, made room and counted in one function of 40 lines. Change: takeIdle finds a rested connection, dropAnyIdle makes room; reserve decides. Result: the tests of the package pass, those of connections 20 times under -race with GOMAXPROCS=2.

--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -82,35 +82,17 @@
 	if t.closed {
 		return nil, errClosed
 	}
-	// What was answered just now may get a second answer, which would be taken for that of the
-	// next request: it rests, and the latest of those that have rested is used.
-	for {
-		list := u.idle[t]
-		i := len(list) - 1
-		for i >= 0 && time.Since(list[i].idleAt) < u.rest {
-			i--
-		}
-		if i < 0 {
-			break
-		}
-		c := list[i]
-		u.setIdle(t, slices.Delete(list, i, i+1))
-		if time.Since(c.idleAt) < u.maxIdle && c.alive() {
-			return c, nil
-		}
-		u.drop(c)
+	if c := u.takeIdle(t); c != nil {
+		return c, nil
 	}
-	most := u.most
+	maxOpen := u.most
 	if probe {
-		most -= most / probeSpares
+		maxOpen -= maxOpen / probeSpares
 	}
-	if u.open >= most {
-		for other := range u.idle {
-			u.dropOldest(other, 1)
-			break
-		}
+	if u.open >= maxOpen {
+		u.dropAnyIdle()
 	}
-	if u.open >= most {
+	if u.open >= maxOpen {
 		u.full++
 		return nil, errFull
 	}
@@ -119,6 +101,36 @@
 	return nil, nil
 }
 
+// takeIdle returns the connection to t that was used last of those that have rested, or nil, and closes those
+// that are of no more use. What was answered just now may get a second answer, which would be taken for that of
+// the next request: it rests. It holds u.mu.
+func (u *upstream) takeIdle(t *target) *conn {
+	for {
+		list := u.idle[t]
+		latest := len(list) - 1
+		for latest >= 0 && time.Since(list[latest].idleAt) < u.rest {
+			latest--
+		}
+		if latest < 0 {
+			return nil
+		}
+		c := list[latest]
+		u.setIdle(t, slices.Delete(list, latest, latest+1))
+		if time.Since(c.idleAt) < u.maxIdle && c.alive() {
+			return c
+		}
+		u.drop(c)
+	}
+}
+
+// dropAnyIdle closes an idle connection, if there is one, to make room for another. It holds u.mu.
+func (u *upstream) dropAnyIdle() {
+	for t := range u.idle {
+		u.dropOldest(t, 1)
+		return
+	}
+}
+
 // limit sets the most connections, and closes idle ones beyond that.
 func (u *upstream) limit(most int) {
 	u.mu.Lock()
