Let old probe answers fade and throttle errors over the whole pool

Cause: where a turn of the whole list by a balancer's own probes takes long, an answer stays in its pool for three turns, some minutes, and load() held it to be true all that time. In an overload the answers of calmer times drew nearly all requests, and none seemed too late there (prediction.go, load; probing.go, freshFor). Time-outs taught nobody: ten sends a second to 168 endpoints are too few for any breaker of one to get past its protection. Change: there an answer fades to the usual load, within about a second; an error throttle of the breaker's formula over all attempts of a balancer, with a memory as long as its most patient client waits, refuses before a pick. An answer beyond its aim is not accepted. `throttled` in the log lines counts its refusals. TestThrottleSeesTheWholePool fails without the throttle (200 of 200 sent). Tests: load() and crowding() take the instant, so their callers in pick_test.go pass it; nothing else changed there.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -62,6 +62,10 @@
 
 // attempt picks and sends; a pick that the breaker refuses tries one more.
 func (b *Balancer) attempt(now Micros, r *request, first bool) bool {
+	if b.throttles(now) {
+		b.stats.Throttled++
+		return false
+	}
 	r.value = b.value(now, r)
 	e := b.pick(now, r, nil)
 	if e == nil {
@@ -69,7 +73,7 @@
 		return false
 	}
 	x, most := b.predict(now, e, r.work), b.room(now, r, e)
-	if x > most && b.crowding(e) > 1 {
+	if x > most && b.crowding(now, e) > 1 {
 		// It would come too late to be worth its work: not where nobody waits, since few samples of a
 		// long-tailed latency make a healthy endpoint look hopeless, and a sidecar that is slow itself makes
 		// all of them look so: refused clients only come back sooner. As with the breaker, one
@@ -81,7 +85,7 @@
 			b.stats.TooLate++
 			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f "+
 				"ms; work %.0f ms, pace %.2f, load %.1f, ours %d, value %.2f", 100*b.refused.v, e.ID, x/1000,
-				most/1000, r.work/1000, e.paceNow(now, b), b.load(e), e.inflight, r.value)
+				most/1000, r.work/1000, e.paceNow(now, b), b.load(now, e), e.inflight, r.value)
 			return false
 		}
 		c.passed, c.since = now, 0
--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -42,8 +42,11 @@
 		}
 	}
 	weight := max(kLeast, kMost-(kMost-kLeast)*float64(failing)/buckets)
-	total := float64(k.requests)
-	return max(0, (total-protection-weight*float64(k.accepts))/(total+1))
+	return dropChance(float64(k.requests), weight*float64(k.accepts))
+}
+
+func dropChance(requests, allowed float64) float64 {
+	return max(0, (requests-protection-allowed)/(requests+1))
 }
 
 func (k *breaker) latencyChance(timeout float64) float64 {
@@ -55,14 +58,28 @@
 	return min(latencyCap, max(0, (k.current-threshold)/(ceiling-threshold)*latencyCap))
 }
 
+// drops draws a lot with this chance; one request passes now and then.
+func (b *Balancer) drops(now Micros, chance float64, passed *Micros) bool {
+	if chance > 0 && now-*passed > forcedPass {
+		*passed = now
+		return false
+	}
+	return b.rng.float() < chance
+}
+
+// throttles draws the lot of the error throttle over the whole pool: where each endpoint gets few requests,
+// no breaker of one gets past its protection. An answer beyond its aim is not accepted: it shows overload.
+func (b *Balancer) throttles(now Micros) bool {
+	b.recent.fade(now)
+	throttled := b.drops(now, dropChance(b.recent.requests, kMost*b.recent.accepts), &b.recent.passed)
+	b.recent.requests += share(throttled)
+	return throttled
+}
+
 // allows draws the breaker's lot for a request; a refusal counts as a request.
 func (b *Balancer) allows(now Micros, r *request, e *endpoint) bool {
 	chance := max(e.br.errorChance(now), e.br.latencyChance(float64(b.class(r).GiveUp)))
-	if chance > 0 && now-e.br.passed > forcedPass {
-		e.br.passed = now
-		return true
-	}
-	if b.rng.float() < chance {
+	if b.drops(now, chance, &e.br.passed) {
 		e.br.count(now, 0, 0)
 		return false
 	}
--- /dev/null
+++ b/balancer/collapse_test.go
@@ -0,0 +1,419 @@
+package balancer
+
+import (
+	"container/heap"
+	"math"
+	"slices"
+	"testing"
+)
+
+// service is a fleet of balancers before endpoints of finite capacity, on one clock. A request given up closes
+// its connection and ends its work; what was done of it by then is lost. Clients come again when they are refused
+// or give a try up, within their patience.
+type service struct {
+	now       Micros
+	events    events
+	members   []*caller
+	endpoints []*server
+	rng       source
+	tries     uint64
+	offered   []int // requests of users, by the second of their arrival
+	inTime    []int // those of them answered within their aim
+}
+
+// caller is the host of one balancer.
+type caller struct {
+	s    *service
+	b    *Balancer
+	open map[uint64]*try
+	idle map[uint32]int // connections, by endpoint
+}
+
+// user is one request as its user sees it: up to three tries.
+type user struct {
+	at    Micros
+	tries int
+}
+
+// try is one try of a user's request, as one balancer gets it.
+type try struct {
+	user     *user
+	id       uint64
+	deadline Micros
+	attempts []*job
+}
+
+// job is one attempt in work at a server.
+type job struct {
+	left  float64 // work
+	at    *server
+	begun Micros // when it got a slot
+	done  func(now Micros)
+	ended bool
+}
+
+// server shares its cores among what it holds. While overdriven it takes longer for the same work.
+type server struct {
+	s         *service
+	cores     float64
+	speed     float64
+	jobs      []*job
+	advanced  Micros
+	turn      int       // of its timer
+	held      float64   // requests a core, of late
+	reported  []float32 // queue, and latency of late in milliseconds
+	took      ewma      // from the start in a slot to the end
+	crowdedAt Micros    // since when it has held too much, 0 if it does not
+	quietAt   Micros    // since when it has held little, 0 if it does not
+	slow      bool
+}
+
+const (
+	serviceAim      = 200 * 1000
+	servicePatience = 500 * 1000
+	tryPatience     = 275 * 1000
+	triesMost       = 3
+	handshakeWork   = 1100
+	meanWork        = 27_000.0
+	reportPeriod    = second
+	slotsPerCore    = 4
+	crowdedFrom     = 4.0 // requests a core, held for
+	crowdedFor      = 2 * second
+	crowdedCost     = 2.7       // times the work, until it has held
+	quietBelow      = 0.4       // requests a core for
+	heldSpan        = 500_000.0 // of that mean
+	quietFor        = 3 * second
+)
+
+func newService(t *testing.T, balancers, endpoints int) *service {
+	t.Helper()
+	s := &service{rng: 11, offered: make([]int, 64), inTime: make([]int, 64)}
+	var list []Endpoint
+	for i := range endpoints {
+		kind := [...]server{{cores: 1, speed: 1.6}, {cores: 2, speed: 1}, {cores: 2, speed: 0.6}}[i%3]
+		kind.s = s
+		s.endpoints = append(s.endpoints, &kind)
+		list = append(list, Endpoint{ID: uint32(i + 1), Name: uint64(i + 1), Share: float32(kind.cores * kind.speed)})
+		s.after(Micros(s.rng.float()*float64(reportPeriod)), kind.report)
+	}
+	settings := testSettings()
+	settings.Balancers = balancers
+	settings.Classes = []Class{{Name: "read", Repeat: Safe, Aim: serviceAim, GiveUp: servicePatience, Worth: 1}}
+	settings.Fields = []Field{FieldQueue, FieldLatency}
+	settings.Limits.SecondCopies = false
+	settings.Prices.Probe = 0.03
+	for i := range balancers {
+		m := &caller{s: s, open: map[uint64]*try{}, idle: map[uint32]int{}}
+		var err error
+		if m.b, err = New(settings, uint64(i)+1, m); err != nil {
+			t.Fatal(err)
+		}
+		s.members = append(s.members, m)
+		m.b.Start(0)
+		m.b.Members(0, ListFull, list)
+	}
+	return s
+}
+
+func (s *service) after(delay Micros, do func(now Micros)) {
+	heap.Push(&s.events, event{s.now + max(1, delay), do})
+}
+
+func (s *service) run(until Micros) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do(e.at)
+	}
+	s.now = until
+}
+
+// traffic has users come at a rate that may change with time; some balancers get several times the mean.
+func (s *service) traffic(rate func(now Micros) float64, until Micros) {
+	var next func(now Micros)
+	next = func(now Micros) {
+		at := s.rng.float()
+		m := s.members[int(at*at*at*float64(len(s.members)))]
+		s.offered[now/second]++
+		m.come(now, &user{at: now})
+		if now < until {
+			s.after(Micros(-math.Log(1-s.rng.float())/rate(now)*float64(second)), next)
+		}
+	}
+	s.after(1, next)
+}
+
+// come is one more try of a user's request.
+func (m *caller) come(now Micros, u *user) {
+	if u.tries == triesMost || now >= u.at+servicePatience {
+		return
+	}
+	u.tries++
+	m.s.tries++
+	t := &try{user: u, id: m.s.tries, deadline: min(now+tryPatience, u.at+servicePatience)}
+	m.open[t.id] = t
+	m.s.after(t.deadline-now, func(now Micros) { m.giveUp(now, t) })
+	m.b.Request(now, Request{ID: t.id, Deadline: t.deadline})
+}
+
+// again has the user come back after a pause.
+func (m *caller) again(t *try) {
+	if m.open[t.id] == nil {
+		return
+	}
+	delete(m.open, t.id)
+	pause := Micros((25 + 175*m.s.rng.float()) * 1000)
+	m.s.after(pause, func(now Micros) { m.come(now, t.user) })
+}
+
+func (m *caller) giveUp(now Micros, t *try) {
+	for i, j := range t.attempts {
+		if !j.ended {
+			j.at.drop(now, j)
+			m.b.Outcome(now, Outcome{ID: t.id, Attempt: i, Status: Timeout, Latency: tryPatience})
+		}
+	}
+	m.again(t)
+}
+
+func (m *caller) Send(id uint64, endpoint uint32, _ Micros) {
+	t, begun, at := m.open[id], m.s.now, m.s.endpoints[endpoint-1]
+	work := (0.4 + 1.2*m.s.rng.float()) * meanWork
+	if m.idle[endpoint] > 0 {
+		m.idle[endpoint]--
+	} else {
+		work += handshakeWork
+	}
+	j, n := &job{left: work, at: at}, len(t.attempts)
+	j.done = func(now Micros) {
+		m.idle[endpoint]++
+		if m.open[id] != nil {
+			delete(m.open, id)
+			if now-t.user.at <= serviceAim {
+				m.s.inTime[t.user.at/second]++
+			}
+		}
+		m.b.Outcome(now, Outcome{ID: id, Attempt: n, Status: OK, Latency: now - begun, Settled: true})
+	}
+	t.attempts = append(t.attempts, j)
+	at.take(begun, j)
+}
+
+func (m *caller) Refuse(id uint64, _ Micros) {
+	if t := m.open[id]; t != nil {
+		m.again(t)
+	}
+}
+
+func (m *caller) Fail(id uint64) { m.Refuse(id, 0) }
+
+func (m *caller) Cancel(uint64, int) {}
+
+func (m *caller) Probe(endpoint uint32) {
+	m.s.after(2000, func(now Micros) {
+		m.b.Probed(now, endpoint, OK, 2000, m.s.endpoints[endpoint-1].reported)
+	})
+}
+
+func (m *caller) Timer(delay Micros, token uint32) {
+	m.s.after(delay, func(now Micros) { m.b.Timer(now, token) })
+}
+
+func (m *caller) Watch(bool) {}
+func (m *caller) Log(string) {}
+
+func (v *server) report(now Micros) {
+	v.reported = []float32{float32(max(0, float64(len(v.jobs))-v.cores)), float32(v.took.v / 1000)}
+	v.s.after(reportPeriod, v.report)
+}
+
+// serving are the jobs in work; the others wait for a slot.
+func (v *server) serving() []*job {
+	return v.jobs[:min(len(v.jobs), slotsPerCore*int(v.cores))]
+}
+
+// pace is the work done a microsecond of each job held.
+func (v *server) pace() float64 {
+	p := v.speed * min(1, v.cores/float64(max(1, len(v.serving()))))
+	if v.slow {
+		p /= crowdedCost
+	}
+	return p
+}
+
+// advance works until now, and finds out whether it is overdriven.
+func (v *server) advance(now Micros) {
+	done := v.pace() * float64(now-v.advanced)
+	for _, j := range v.serving() {
+		j.left -= done
+	}
+	v.held += (float64(len(v.jobs))/v.cores - v.held) * (1 - math.Exp(-float64(now-v.advanced)/heldSpan))
+	v.advanced = now
+	since(&v.crowdedAt, v.held > crowdedFrom, now)
+	since(&v.quietAt, v.held < quietBelow, now)
+	if v.crowdedAt > 0 && now-v.crowdedAt > crowdedFor {
+		v.slow = true
+	}
+	if v.quietAt > 0 && now-v.quietAt > quietFor {
+		v.slow = false
+	}
+}
+
+// since keeps the instant from which something has held.
+func since(at *Micros, holds bool, now Micros) {
+	if !holds {
+		*at = 0
+	} else if *at == 0 {
+		*at = now
+	}
+}
+
+func (v *server) take(now Micros, j *job) {
+	v.advance(now)
+	v.jobs = append(v.jobs, j)
+	v.next()
+}
+
+func (v *server) drop(now Micros, j *job) {
+	v.advance(now)
+	j.ended = true
+	v.jobs = slices.DeleteFunc(v.jobs, func(o *job) bool { return o == j })
+	v.next()
+}
+
+// next sets the timer of the first job that will be done.
+func (v *server) next() {
+	v.turn++
+	if len(v.jobs) == 0 {
+		return
+	}
+	for _, j := range v.serving() {
+		if j.begun == 0 {
+			j.begun = v.advanced
+		}
+	}
+	first := slices.MinFunc(v.serving(), func(a, b *job) int { return int(math.Copysign(1, a.left-b.left)) })
+	turn := v.turn
+	v.s.after(Micros(math.Ceil(max(0, first.left)/v.pace())), func(now Micros) {
+		if turn == v.turn {
+			v.drop(now, first)
+			v.took.add(float64(now-first.begun), 0.2)
+			first.done(now)
+		}
+	})
+}
+
+// A burst of some seconds beyond what the endpoints can do leaves them overdriven and the clients coming again.
+// Once it is over all is served in time again within a few seconds: what is asked then, they can do.
+func TestFleetRecoversFromABurst(t *testing.T) {
+	const (
+		burstFrom = 6 * second
+		burstTo   = 10 * second
+		recovery  = 5 * second
+		day       = 22 * second
+	)
+	for name, times := range map[string]float64{"burst": 2.2, "large burst": 3} {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t, 285, 168)
+			usual := 0.5 * s.capacity()
+			s.after(3*second, func(now Micros) { s.neighbour(now) })
+			s.traffic(func(now Micros) float64 {
+				if now >= burstFrom && now < burstTo {
+					return times * usual
+				}
+				return usual
+			}, day)
+			s.run(day + servicePatience)
+			before, burst := s.share(second, burstFrom), s.share(burstFrom, burstTo)
+			after := s.share(burstTo+recovery, day)
+			t.Logf("in time: %.2f before the burst, %.2f in it, %.2f later than %d s after it; by the second %v of %v",
+				before, burst, after, recovery/second, s.inTime[:day/second], s.offered[:day/second])
+			if before < 0.9 || burst > 0.8 {
+				t.Errorf("%.2f in time before the burst and %.2f in it: it shows nothing", before, burst)
+			}
+			if after < 0.9*before {
+				t.Errorf("%.2f in time from %d s after the burst on, %.2f before it", after, recovery/second, before)
+			}
+		})
+	}
+}
+
+// capacity is what all endpoints can do, in requests a second.
+func (s *service) capacity() float64 {
+	var sum float64
+	for _, v := range s.endpoints {
+		sum += v.cores * v.speed * float64(second) / meanWork
+	}
+	return sum
+}
+
+// neighbour takes half of a quarter of the endpoints.
+func (s *service) neighbour(now Micros) {
+	for i, v := range s.endpoints {
+		if i%4 == 0 {
+			v.advance(now)
+			v.speed /= 2
+			v.next()
+		}
+	}
+}
+
+// share is the share answered in time of the requests that came between two instants.
+func (s *service) share(from, to Micros) float64 {
+	var offered, inTime int
+	for at := from / second; at < to/second; at++ {
+		offered += s.offered[at]
+		inTime += s.inTime[at]
+	}
+	return float64(inTime) / float64(max(1, offered))
+}
+
+// Where a balancer sends few requests to each of many endpoints, no breaker of one gets past its protection. The
+// throttle over the whole pool refuses most of what comes while nearly nothing is answered in time, lets one pass
+// a second at least, and refuses nothing soon after all is answered in time again.
+func TestThrottleSeesTheWholePool(t *testing.T) {
+	for _, late := range []struct {
+		name   string
+		status Status
+	}{{"timed out", Timeout}, {"answered beyond the aim", OK}} {
+		t.Run(late.name, func(t *testing.T) {
+			s := testSettings()
+			b, r := start(t, s, ready(200))
+			id, now := uint64(0), Micros(0)
+			var due []event
+			// play has a request come every 50 ms.
+			play := func(n int, status Status, took Micros) (sent int) {
+				for range n {
+					now += 50_000
+					for ; len(due) > 0 && due[0].at <= now; due = due[1:] {
+						due[0].do(due[0].at)
+					}
+					id++
+					o, before := Outcome{ID: id, Status: status, Latency: took, Settled: true}, len(r.sends)
+					b.Request(now, Request{ID: id, Deadline: now + second})
+					if len(r.sends) > before {
+						sent++
+						due = append(due, event{now + took, func(at Micros) { b.Outcome(at, o) }})
+					}
+				}
+				return sent
+			}
+			if sent := play(200, OK, 20_000); sent != 200 {
+				t.Errorf("%d of 200 sent while all are answered in time", sent)
+			}
+			play(60, late.status, s.Classes[0].Aim+1000)
+			sent := play(200, late.status, s.Classes[0].Aim+1000)
+			t.Logf("%d of 200 sent while none is answered in time", sent)
+			if sent < 9 || sent > 100 {
+				t.Errorf("%d of 200 sent while none is answered in time", sent)
+			}
+			if b.stats.Broken > 0 {
+				t.Errorf("%d refused by breakers of single endpoints: it shows nothing", b.stats.Broken)
+			}
+			play(100, OK, 20_000)
+			if sent = play(100, OK, 20_000); sent != 100 {
+				t.Errorf("%d of 100 sent 5 s after all are answered in time again", sent)
+			}
+		})
+	}
+}
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -70,7 +70,7 @@
 	}
 	latest := b.latest(r, e)
 	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now, cold: cold, expected: b.predict(now, e, r.work),
-		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(e), factor: r.work * b.crowding(e),
+		plain: b.ways[e.Zone].v + r.work*e.paceNow(now, b)*b.crowding(now, e), factor: r.work * b.crowding(now, e),
 		out: true, mayRun: true, written: !r.Passing}
 	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
 	r.attempts = append(r.attempts, a)
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -30,6 +30,7 @@
 	}
 	for i := range b.classes {
 		b.classes[i].work = ewma{v: float64(s.Classes[i].Aim) / 5, seen: true}
+		b.recent.span = max(b.recent.span, s.Classes[i].GiveUp) // by then, what is sent now has its outcome
 	}
 	return b, nil
 }
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -33,7 +33,7 @@
 	// that is too late: nothing of what it turns away has run, and what it takes in is answered.
 	ejected := e.ejected(now) && e.turned.v < turnsMost
 	c := expected + (e.failing(now)+share(ejected)+share(expected > b.room(now, r, e)))*aim
-	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(e)
+	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(now, e)
 	return c + zoneWeight*b.s.Prices.CrossZone*aim*share(int(e.Zone) != b.s.Zone)
 }
 
@@ -104,7 +104,7 @@
 				}
 			}
 		}
-		if best != nil && (b.crowding(best) <= 1 || b.predict(now, best, r.work) <= b.room(now, r, best)) {
+		if best != nil && (b.crowding(now, best) <= 1 || b.predict(now, best, r.work) <= b.room(now, r, best)) {
 			return best
 		}
 		if first == nil {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -24,7 +24,7 @@
 	if len(r.sends) != 4 {
 		t.Fatalf("%d sends", len(r.sends))
 	}
-	if got := b.load(b.byID[2]); got != 4 {
+	if got := b.load(2000, b.byID[2]); got != 4 {
 		t.Errorf("load with own sends: %v", got)
 	}
 }
@@ -81,8 +81,8 @@
 	}
 	b.Probed(1000, 99, OK, 500, []float32{1}) // unknown endpoint
 	b.Probed(1000, 1, OK, 500, []float32{2, 7, 9})
-	if b.load(b.list[0]) != 2 {
-		t.Errorf("load %v", b.load(b.list[0]))
+	if b.load(1000, b.list[0]) != 2 {
+		t.Errorf("load %v", b.load(1000, b.list[0]))
 	}
 }
 
@@ -102,7 +102,7 @@
 	if !b.reportsLate {
 		t.Fatal("not found out")
 	}
-	if got := b.load(busy); got < float64(busy.inflight) {
+	if got := b.load(14_000, busy); got < float64(busy.inflight) {
 		t.Errorf("load %v is under own in-flight %d", got, busy.inflight)
 	}
 	for i := range Micros(400) {
@@ -238,7 +238,7 @@
 		b.Probed(1000, 1, OK, 500, []float32{float32(4 + 2*(i%2))})
 		b.Probed(1000, 2, OK, 500, []float32{float32(i % 2)})
 	}
-	if crowded, quiet := b.load(b.byID[1]), b.load(b.byID[2]); crowded < 4 || quiet > 1 {
+	if crowded, quiet := b.load(1000, b.byID[1]), b.load(1000, b.byID[2]); crowded < 4 || quiet > 1 {
 		t.Errorf("load %.1f where reports tell 4 to 6, %.1f where they tell 0 to 1", crowded, quiet)
 	}
 	if after := b.room(0, r, b.list[0]); after > before+500 { // the way is known by now
@@ -445,11 +445,11 @@
 		b.Probed(900, 1, OK, 500, []float32{90, 0.2})
 	}
 	b.Probed(1000, 1, OK, 500, []float32{90, 0.5})
-	if got := b.load(e); got != 0.5*cores {
+	if got := b.load(1000, e); got != 0.5*cores {
 		t.Errorf("load %v of a half busy endpoint", got)
 	}
 	b.Probed(2000, 1, OK, 160_500, []float32{90, 0.5})
-	if got := b.load(e); got < 2*cores {
+	if got := b.load(2000, e); got < 2*cores {
 		t.Errorf("load %v, though the probe waited for two requests' work", got)
 	}
 	b.Probed(3000, 1, Full, 500, nil)
@@ -478,7 +478,7 @@
 			probed(200, 0)
 		}
 		for range 5 {
-			if probed(11_000+noise.below(4000), 0); b.load(b.byID[1]) > 0 {
+			if probed(11_000+noise.below(4000), 0); b.load(now, b.byID[1]) > 0 {
 				t.Errorf("%s: an idle endpoint shows a load while its way is being learned", c.name)
 			}
 		}
@@ -488,13 +488,13 @@
 		lined := 0
 		for range 100 {
 			probed(11_000+noise.below(6000), 0)
-			lined += int(share(b.load(b.byID[1]) > 0))
+			lined += int(share(b.load(now, b.byID[1]) > 0))
 		}
 		if lined > 5 {
 			t.Errorf("%s: %d of 100 probes of an idle endpoint show a load", c.name, lined)
 		}
 		probed(60_000, 0)
-		if got := b.load(b.byID[1]); got < cores {
+		if got := b.load(now, b.byID[1]); got < cores {
 			t.Errorf("%s: load %v after a probe that waited 47 ms", c.name, got)
 		}
 	}
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -21,21 +21,26 @@
 // kept, half of the other balancers are held to send as we do: they hold that answer, too, and would all
 // pile up where it is low. Answers asked for one request are our own: nobody else acts on them. Late answers
 // tell nothing of this moment, but their mean still tells at which endpoints others are more than elsewhere.
-func (b *Balancer) load(e *endpoint) float64 {
+func (b *Balancer) load(now Micros, e *endpoint) float64 {
+	usual := b.usual.v
+	if e.isCold {
+		usual = b.usualCold.v
+	}
 	if b.reportsLate || !e.hasLoad {
-		usual := b.usual.v
-		if e.isCold {
-			usual = b.usualCold.v
-		}
 		return e.mean.or(usual) + float64(e.inflight)
 	}
+	others := e.others
+	if b.thin(now) {
+		// An answer may be minutes old. Those of calmer times would draw all in an overload, and none seem late.
+		others = usual + (others-usual)*math.Exp(-float64(now-e.answerAt)/float64(poolAge))
+	}
 	herd := float64(b.s.Balancers-1) / 2 * float64(max(0, e.inflight-e.ownAt)) * share(!b.sparse)
-	return e.others + float64(e.inflight) + herd
+	return others + float64(e.inflight) + herd
 }
 
 // crowding is how much longer than alone a request takes at e's load.
-func (b *Balancer) crowding(e *endpoint) float64 {
-	return max(1, (b.load(e)+1)/cores)
+func (b *Balancer) crowding(now Micros, e *endpoint) float64 {
+	return max(1, (b.load(now, e)+1)/cores)
 }
 
 // paceNow is e's time per unit of work, longer while it is cold. Unseen for long, it
@@ -48,7 +53,7 @@
 
 // predict is the latency expected of a request of this work sent to e now.
 func (b *Balancer) predict(now Micros, e *endpoint, work float64) float64 {
-	return b.ways[e.Zone].v + work*b.slowdown(now)*e.paceNow(now, b)*b.crowding(e)
+	return b.ways[e.Zone].v + work*b.slowdown(now)*e.paceNow(now, b)*b.crowding(now, e)
 }
 
 // learnPace learns from a latency; atLeast says that it is only a lower bound.
--- a/balancer/retries.go
+++ b/balancer/retries.go
@@ -93,7 +93,11 @@
 		o.Status == Timeout && (a.ep.answered > a.at || a.ep.heardAt < a.at)
 	b.lost.add(share(lost), lostWeight)
 	b.record(now, r, a, o.Status, o.Latency)
-	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim {
+	inTime := o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim
+	if o.Status != Cancelled && o.Status != Moot {
+		b.recent.add(now, inTime)
+	}
+	if inTime {
 		r.good = 1
 		b.passOf = passLeast
 	} else if r.pass {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -45,6 +45,7 @@
 	fleet    ewma     // pace of the whole fleet
 	demand   meter    // requests taken
 	sentWork meter    // work sent
+	recent   tally    // attempts that ended, and those throttled
 	refused  ewma     // share of requests refused at arrival
 	passOf   int      // requests that seem too late for one that is sent
 	credit   float64  // retry budget, in attempts
@@ -252,6 +253,24 @@
 	return m.decayed(now) * float64(second) / float64(meterSpan)
 }
 
+// tally counts requests, and those accepted of them; both fade.
+type tally struct {
+	requests, accepts float64
+	at, span          Micros
+	passed            Micros // last forced pass
+}
+
+func (t *tally) fade(now Micros) {
+	left := math.Exp(-float64(now-t.at) / float64(t.span))
+	t.requests, t.accepts, t.at = t.requests*left, t.accepts*left, now
+}
+
+func (t *tally) add(now Micros, accepted bool) {
+	t.fade(now)
+	t.requests++
+	t.accepts += share(accepted)
+}
+
 // source is a SplitMix64 generator.
 type source uint64
 
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -7,9 +7,9 @@
 type Stats struct {
 	Requests, Sends, Refused, Failed uint64
 
-	// Why an attempt was not sent: no endpoint may be sent to, it would come too late, or the breakers of two
-	// picks refused by lot.
-	NoEndpoint, TooLate, Broken uint64
+	// Why an attempt was not sent: no endpoint may be sent to, it would come too late, the breakers of two picks
+	// refused by lot, or the throttle over the whole pool did.
+	NoEndpoint, TooLate, Broken, Throttled uint64
 
 	Outcomes [Moot + 1]uint64 // of attempts, by status
 	Probes   [Moot + 1]uint64 // by status
@@ -81,11 +81,11 @@
 	}
 	ok, probed := s.Outcomes[OK]-old.Outcomes[OK], s.Probes[OK]-old.Probes[OK]
 	coldOK := s.ColdOK - old.ColdOK
-	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d outcomes=%s "+
+	return fmt.Sprintf("requests=%d sends=%d refused=%d failed=%d no_endpoint=%d too_late=%d broken=%d throttled=%d outcomes=%s "+
 		"expected_ms=%.1f latency_ms=%.1f cold_sends=%d cold_ok=%d cold_timeouts=%d cold_expected_ms=%.1f cold_latency_ms=%.1f probes=%s probe_ms=%.2f held=%.2f lined=%d open=%d inflight=%d writing=%d listed=%d cordoned=%d cold=%d ejected=%d "+
 		"pooled=%d load=%.2f pace=%.2f slowdown=%.2f refused_share=%.2f reports_late=%v",
 		s.Requests-old.Requests, s.Sends-old.Sends, s.Refused-old.Refused, s.Failed-old.Failed,
-		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, statuses(&s.Outcomes, &old.Outcomes),
+		s.NoEndpoint-old.NoEndpoint, s.TooLate-old.TooLate, s.Broken-old.Broken, s.Throttled-old.Throttled, statuses(&s.Outcomes, &old.Outcomes),
 		mean(s.Expected-old.Expected, ok), mean(s.Latency-old.Latency, ok),
 		s.ColdSends-old.ColdSends, coldOK, s.ColdTimeouts-old.ColdTimeouts,
 		mean(s.ColdExpected-old.ColdExpected, coldOK), mean(s.ColdLatency-old.ColdLatency, coldOK),
