--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -18,19 +18,6 @@
 	latencyCap  = 0.3
 )
 
-func (k *breaker) latency(x float64) {
-	if k.base <= 0 {
-		k.base, k.current = x, x
-		return
-	}
-	divisor := float64(riseDivisor)
-	if x < k.base {
-		divisor = fallDivisor
-	}
-	k.base = (x + (divisor-1)*k.base) / divisor
-	k.current = (x + (currDivisor-1)*k.current) / currDivisor
-}
-
 func (k *breaker) errorChance(now Micros) float64 {
 	k.slide(now)
 	failing := 0
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -365,6 +365,20 @@
 	k.accepts += accepts
 }
 
+// latency adds one to both averages.
+func (k *breaker) latency(x float64) {
+	if k.base <= 0 {
+		k.base, k.current = x, x
+		return
+	}
+	divisor := float64(riseDivisor)
+	if x < k.base {
+		divisor = fallDivisor
+	}
+	k.base = (x + (divisor-1)*k.base) / divisor
+	k.current = (x + (currDivisor-1)*k.current) / currDivisor
+}
+
 // release ends r's wait for probes.
 func (b *Balancer) release(r *request) {
 	if r.held {
