--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -32,7 +32,7 @@
 	// An endpoint that only rejects some goes ahead of a late one: what it rejects has not run.
 	ejected := e.ejected(now) && e.turned.v < maxRejectedShare
 	c := expected + (e.failing(now)+share(ejected)+share(expected > b.room(now, r, e)))*aim
-	c += othersWeight * r.class.work.v * e.paceNow(now, b) * b.load(e)
+	c += othersWeight * r.class.work.v * e.paceNow(now, b) * b.load(now, e)
 	return c + zoneWeight*b.s.Prices.CrossZone*aim*share(int(e.Zone) != b.s.Zone)
 }
 
@@ -92,7 +92,7 @@
 		for _, e := range [...]*endpoint{top[rank].e, top[homesEach+rank].e, b.turn} {
 			b.consider(now, r, not, e, &best)
 		}
-		if e := best.e; e != nil && (b.crowding(e) <= 1 || b.predict(now, e, r.work) <= b.room(now, r, e)) {
+		if e := best.e; e != nil && (b.crowding(now, e) <= 1 || b.predict(now, e, r.work) <= b.room(now, r, e)) {
 			return e
 		}
 		if first == nil {
--- a/balancer/reconfigure.go
+++ b/balancer/reconfigure.go
@@ -22,8 +22,10 @@
 // applySettings puts settings in force.
 func (b *Balancer) applySettings(s Settings) {
 	classes := make([]*class, len(s.Classes))
+	b.recent.span = 0
 	for i, definition := range s.Classes {
 		classes[i] = b.classOf(definition)
+		b.recent.span = max(b.recent.span, definition.GiveUp) // by then, what is sent now has its outcome
 	}
 	tenants := make([]*tenant, len(s.Tenants))
 	for i, definition := range s.Tenants {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -46,6 +46,7 @@
 	fleet    ewma     // pace of the whole fleet
 	demand   meter    // requests taken
 	sentWork meter    // work sent
+	recent   tally    // attempts that ended, and those throttled
 	refused  ewma     // share of requests refused at arrival
 	passOf   int      // requests that seem too late for one that is sent
 	credit   float64  // retry budget, in attempts
@@ -269,6 +270,24 @@
 	return m.decayed(now) * float64(second) / float64(meterSpan)
 }
 
+// tally counts requests, and those accepted of them; both fade.
+type tally struct {
+	requests, accepts float64
+	at, span          Micros
+	passed            Micros // last forced pass
+}
+
+func (t *tally) fade(now Micros) {
+	left := math.Exp(-float64(now-t.at) / float64(t.span))
+	t.requests, t.accepts, t.at = t.requests*left, t.accepts*left, now
+}
+
+func (t *tally) add(now Micros, accepted bool) {
+	t.fade(now)
+	t.requests++
+	t.accepts += share(accepted)
+}
+
 // source is a SplitMix64 generator.
 type source uint64
 
@@ -382,6 +401,20 @@
 	k.accepts += accepts
 }
 
+// latency adds one to both averages.
+func (k *breaker) latency(x float64) {
+	if k.base <= 0 {
+		k.base, k.current = x, x
+		return
+	}
+	divisor := float64(riseDivisor)
+	if x < k.base {
+		divisor = fallDivisor
+	}
+	k.base = (x + (divisor-1)*k.base) / divisor
+	k.current = (x + (currDivisor-1)*k.current) / currDivisor
+}
+
 // release ends r's wait for probes.
 func (b *Balancer) release(r *request) {
 	if r.held {
