--- a/internal/emulator/play/measure.go
+++ b/internal/emulator/play/measure.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime"
 	"time"
 
 	"peatpost/internal/emulator/control"
@@ -202,7 +203,9 @@
 	phase.Seconds = s.at.Sub(earlier.at).Seconds()
 	phase.MachineCPUShare = s.machine.Share(earlier.machine)
 	for i, totals := range s.roles {
-		phase.Roles = append(phase.Roles, totals.since(earlier.roles[i]))
+		spent := totals.since(earlier.roles[i])
+		phase.Roles = append(phase.Roles, spent)
+		phase.OwnCPUShare += spent.CPUSeconds / phase.Seconds / float64(runtime.NumCPU())
 		if totals.crowded > 0 {
 			phase.Notes = append(phase.Notes, fmt.Sprintf("%d of %d processes of role %s are out of descriptors: connections were refused",
 				totals.crowded, totals.processes, totals.role))
--- a/internal/emulator/result/metrics.go
+++ b/internal/emulator/result/metrics.go
@@ -31,6 +31,7 @@
 	}
 	for i := range r.Phases {
 		phase := &r.Phases[i]
+		metrics = append(metrics, phase.named(phase.OwnCPUShare*100, "% of the machine", "run, processor time"))
 		metrics = append(metrics, phase.roleMetrics()...)
 		metrics = append(metrics, phase.discoveryMetrics()...)
 		metrics = append(metrics, phase.endpointMetrics(r.Size.Sidecars)...)
--- a/internal/emulator/result/result.go
+++ b/internal/emulator/result/result.go
@@ -102,6 +102,7 @@
 	Name            string               `json:"name"`
 	Seconds         float64              `json:"seconds"`
 	MachineCPUShare float64              `json:"machine_cpu_share"` // others' processes included
+	OwnCPUShare     float64              `json:"own_cpu_share"`     // of the machine, by the run's processes alone
 	Roles           []RoleUsage          `json:"roles"`
 	Discovery       registry.Counts      `json:"discovery"` // within the phase, connections as at its end
 	Endpoints       endpoint.Counts      `json:"endpoints"` // the same, summed over all endpoints
--- a/internal/emulator/result/summary.go
+++ b/internal/emulator/result/summary.go
@@ -33,7 +33,7 @@
 }
 
 func writePhase(table io.Writer, phase *Phase) {
-	fmt.Fprintf(table, "phase %s\t%.1f s, machine %.0f%% busy\n", phase.Name, phase.Seconds, phase.MachineCPUShare*100)
+	fmt.Fprintf(table, "phase %s\t%.1f s, machine %.0f%% busy, %.0f%% by this run\n", phase.Name, phase.Seconds, phase.MachineCPUShare*100, phase.OwnCPUShare*100)
 	for _, usage := range phase.Roles {
 		if usage.Processes == 0 {
 			continue
--- /dev/null
+++ b/internal/emulator/spec/read_test.go
@@ -0,0 +1,40 @@
+package spec
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestShippedFile(t *testing.T) {
+	file, err := Read("../../../deploy/emulator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"changes", "replace", "steady", "zone"}; !slices.Equal(file.Names(), want) {
+		t.Errorf("scenarios %v, want %v", file.Names(), want)
+	}
+	scenario, err := file.Scenario("changes")
+	if err != nil || scenario.Kind != Changes {
+		t.Fatalf("%+v, %v", scenario, err)
+	}
+	// 1,300 a day, 66.5 times as fast, are one in 0.9994 s.
+	if interval := scenario.Interval().Round(time.Millisecond); interval != 999*time.Millisecond {
+		t.Errorf("a change in %v", interval)
+	}
+}
+
+func TestSizes(t *testing.T) {
+	for _, size := range []Size{{1, 1, 0}, {1, 1, 1}, {860, 860, 100}, {maxSidecars, maxEndpoints, maxReal}} {
+		if err := size.Check(); err != nil {
+			t.Errorf("%+v: %v", size, err)
+		}
+	}
+	for _, size := range []Size{{0, 1, 0}, {1, 0, 0}, {1, 1, 2}, {200, 200, 101}, {1, 1, -1}, {maxSidecars + 1, 1, 0}, {1, maxEndpoints + 1, 0}} {
+		var bad *InputError
+		if err := size.Check(); !errors.As(err, &bad) {
+			t.Errorf("%+v: %v", size, err)
+		}
+	}
+}
