Emulator: a real sidecar's readiness is awaited from its own start on

Cause: readiness was awaited once all had been started, so that the time told included the spread of the starts: 11.5 to 12.3 s for the last of 16 over 12 s, which is no figure of the sidecar. Change: each real sidecar is awaited beside the others.

--- a/internal/emulator/play/start.go
+++ b/internal/emulator/play/start.go
@@ -158,20 +158,8 @@
 	}
 	began := time.Now()
 	spread := r.spec().Limits.StartSpread.Std() * time.Duration(r.options.Size.Sidecars) / largestSize
-	var real, hollow result.Spread
-	var realErr, hollowErr error
-	var starting sync.WaitGroup
-	starting.Add(2)
-	go func() {
-		defer starting.Done()
-		real, realErr = r.startAllReal(ctx, spread)
-	}()
-	go func() {
-		defer starting.Done()
-		hollow, hollowErr = r.startHollow(ctx, r.hollow, spread)
-	}()
-	starting.Wait()
-	if err := errors.Join(realErr, hollowErr); err != nil {
+	real, hollow, err := r.startBoth(ctx, r.real, r.hollow, spread)
+	if err != nil {
 		return err
 	}
 	took := time.Since(began)
@@ -186,33 +174,51 @@
 	return nil
 }
 
-// startAllReal starts the real sidecars evenly over a time.
-func (r *runner) startAllReal(ctx context.Context, spread time.Duration) (result.Spread, error) {
-	for i, s := range r.real {
-		if i > 0 {
-			if err := pause(ctx, spread/time.Duration(len(r.real))); err != nil {
-				return result.Spread{}, err
-			}
-		}
-		if err := r.startReal(s); err != nil {
-			return result.Spread{}, err
-		}
-	}
-	return r.awaitReal(ctx, r.real)
+// startBoth starts real sidecars, and hollow ones by host, over the same time, and waits until
+// they are ready.
+func (r *runner) startBoth(ctx context.Context, realOnes []*realSidecar, byHost [][]fleet.Sidecar, spread time.Duration) (real, hollow result.Spread, err error) {
+	var realErr, hollowErr error
+	var starting sync.WaitGroup
+	starting.Add(2)
+	go func() {
+		defer starting.Done()
+		real, realErr = r.startAllReal(ctx, realOnes, spread)
+	}()
+	go func() {
+		defer starting.Done()
+		hollow, hollowErr = r.startHollow(ctx, byHost, spread)
+	}()
+	starting.Wait()
+	return real, hollow, errors.Join(realErr, hollowErr)
 }
 
-// awaitReal waits until real sidecars are ready.
-func (r *runner) awaitReal(ctx context.Context, of []*realSidecar) (result.Spread, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.spec().Limits.Ready.Std())
+// startAllReal starts real sidecars evenly over a time, and waits until they are ready.
+func (r *runner) startAllReal(ctx context.Context, of []*realSidecar, spread time.Duration) (result.Spread, error) {
+	ctx, cancel := context.WithTimeout(ctx, spread+r.spec().Limits.Ready.Std())
 	defer cancel()
 	took := make([]time.Duration, len(of))
+	failures := make([]error, len(of))
+	var starting sync.WaitGroup
 	for i, s := range of {
-		var err error
-		if took[i], err = s.awaitReady(ctx); err != nil {
-			return result.Spread{}, err
-		}
+		starting.Add(1)
+		go func() {
+			defer starting.Done()
+			took[i], failures[i] = r.startRealAfter(ctx, s, spread*time.Duration(i)/time.Duration(len(of)))
+		}()
+	}
+	starting.Wait()
+	return result.NewSpread("from a real sidecar's start to its being ready", len(of), took), errors.Join(failures...)
+}
+
+// startRealAfter starts a real sidecar after a while, and returns how long it takes to be ready.
+func (r *runner) startRealAfter(ctx context.Context, s *realSidecar, wait time.Duration) (time.Duration, error) {
+	if err := pause(ctx, wait); err != nil {
+		return 0, err
+	}
+	if err := r.startReal(s); err != nil {
+		return 0, err
 	}
-	return result.NewSpread("from a real sidecar's start to its being ready", len(of), took), nil
+	return s.awaitReady(ctx)
 }
 
 // startHollow starts hollow sidecars, given by host, and waits until they are ready.
--- a/internal/emulator/play/zone.go
+++ b/internal/emulator/play/zone.go
@@ -130,16 +130,7 @@
 	if err != nil {
 		return err
 	}
-	for _, s := range part.real {
-		if err := r.startReal(s); err != nil {
-			return err
-		}
-	}
-	hollow, err := r.startHollow(ctx, part.hollow, 0)
-	if err != nil {
-		return err
-	}
-	real, err := r.awaitReal(ctx, part.real)
+	real, hollow, err := r.startBoth(ctx, part.real, part.hollow, 0)
 	if err != nil {
 		return err
 	}
