--- a/internal/emulator/play/changes.go
+++ b/internal/emulator/play/changes.go
@@ -9,23 +9,18 @@
 	"time"
 
 	"peatpost/internal/emulator/control"
-	"peatpost/internal/emulator/fleet"
 	"peatpost/internal/emulator/result"
 	"peatpost/internal/emulator/sidecarlog"
 	"peatpost/internal/emulator/worker"
 	"peatpost/internal/sidecar"
 )
 
-const (
-	inForceWithin = 10 * time.Second // a change that takes longer counts as missing
-	writers       = 8                // of configuration files, at the same time
-)
+// inForceWithin is how long a change may take until it counts as missing.
+const inForceWithin = 10 * time.Second
 
 // handOut is one replacement of all configuration files.
 type handOut struct {
-	first time.Time // when the first file was replaced
-
-	mu       sync.Mutex
+	first    time.Time            // when the first file was replaced
 	replaced map[string]time.Time // when each was, by sidecar
 	bytes    int64
 }
@@ -132,56 +127,29 @@
 	return handed, nil
 }
 
-// configured is a sidecar and where it listens.
-type configured struct {
-	fleet.Sidecar
-	listen string
-}
-
-// configuredSidecars returns all sidecars, the real ones first.
-func (r *runner) configuredSidecars() []configured {
-	var all []configured
+// writeAll replaces all configuration files.
+func (r *runner) writeAll() (*handOut, error) {
+	handed := &handOut{first: time.Now(), replaced: map[string]time.Time{}}
 	for _, s := range r.real {
-		all = append(all, configured{s.Sidecar, s.listen})
+		if err := r.hand(handed, s.Sidecar.Name, func() (int, error) { return r.write(s.Sidecar, s.listen) }); err != nil {
+			return nil, err
+		}
 	}
 	for _, some := range r.hollow {
 		for _, s := range some {
-			all = append(all, configured{s, hollowListen})
-		}
-	}
-	return all
-}
-
-// writeAll replaces all configuration files, several at a time.
-func (r *runner) writeAll() (*handOut, error) {
-	handed := &handOut{first: time.Now(), replaced: map[string]time.Time{}}
-	waiting := make(chan configured)
-	failures := make([]error, writers)
-	var writing sync.WaitGroup
-	for i := range writers {
-		writing.Add(1)
-		go func() {
-			defer writing.Done()
-			for s := range waiting {
-				failures[i] = errors.Join(failures[i], r.hand(handed, s))
+			if err := r.hand(handed, s.Name, func() (int, error) { return r.write(s, hollowListen) }); err != nil {
+				return nil, err
 			}
-		}()
-	}
-	for _, s := range r.configuredSidecars() {
-		waiting <- s
+		}
 	}
-	close(waiting)
-	writing.Wait()
-	return handed, errors.Join(failures...)
+	return handed, nil
 }
 
-// hand replaces one file and notes when.
-func (r *runner) hand(handed *handOut, s configured) error {
-	size, err := r.write(s.Sidecar, s.listen)
-	handed.mu.Lock()
-	defer handed.mu.Unlock()
+// hand writes one file and notes when.
+func (r *runner) hand(handed *handOut, name string, write func() (int, error)) error {
+	size, err := write()
 	handed.bytes += int64(size)
-	handed.replaced[s.Name] = time.Now()
+	handed.replaced[name] = time.Now()
 	return err
 }
 
