Let a test's watch fall silent only while one is open

Change: the registry counts the calls that wait, and the test goes on until one does. The check that a call was silenced stays.

--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -76,6 +76,7 @@
 	mu    sync.Mutex
 	list  registry
 	calls []asked
+	open  int           // calls that wait for news, and have not fallen silent
 	mute  chan struct{} // closed: calls open then are never answered
 	cut   chan struct{} // closed: connections of calls open then are reset
 	fresh chan struct{} // closed: the list has changed
@@ -114,14 +115,25 @@
 		return
 	}
 	if wait > 0 && !news {
+		s.holds(1)
+		var over, reset, muted bool
 		select {
 		case <-time.After(wait):
 		case <-fresh:
 		case <-r.Context().Done():
-			return
+			over = true
 		case <-cut:
-			panic(http.ErrAbortHandler)
+			reset = true
 		case <-mute:
+			muted = true
+		}
+		s.holds(-1)
+		switch {
+		case over:
+			return
+		case reset:
+			panic(http.ErrAbortHandler)
+		case muted:
 			s.mu.Lock()
 			s.calls[i].silent = true
 			s.mu.Unlock()
@@ -184,13 +196,19 @@
 	synctest.Wait()
 }
 
+// holds counts a call that begins or ends to wait for news.
+func (s *silence) holds(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += n
+}
+
 // watched waits until a call waits for news.
 func (s *silence) watched() {
 	for {
 		synctest.Wait()
 		s.mu.Lock()
-		n := len(s.calls)
-		waits := n > 0 && s.calls[n-1].wait > 0
+		waits := s.open > 0
 		s.mu.Unlock()
 		if waits {
 			return
@@ -310,6 +328,7 @@
 					l, dir := bubble(t, alter)
 					dir.watched()
 					time.Sleep(after)
+					dir.watched() // between two calls there is a pause, in which none could fall silent
 					fell, open := time.Now(), dir.silenced()
 					if !open.silent {
 						t.Fatalf("the watch is not open: %+v", open)
