--- a/balancer/collapse_test.go
+++ b/balancer/collapse_test.go
@@ -69,20 +69,25 @@
 }
 
 const (
-	serviceAim      = 200 * 1000
-	servicePatience = 500 * 1000
-	tryPatience     = 275 * 1000
+	serviceAim      = 200 * 1000 // for a user's request, over all its tries
+	servicePatience = 500 * 1000 // of the user, over all tries
+	tryPatience     = 275 * 1000 // of the user, for one try
 	triesMost       = 3
-	handshakeWork   = 1100
-	meanWork        = 27_000.0
+	meanWork        = 27_000.0 // of a request
+	handshakeWork   = 1100     // of a new connection
 	reportPeriod    = second
-	slotsPerCore    = 4
-	crowdedFrom     = 4.0 // requests a core, held for
-	crowdedFor      = 2 * second
-	crowdedCost     = 2.7       // times the work, until it has held
-	quietBelow      = 0.4       // requests a core for
-	heldSpan        = 500_000.0 // of that mean
-	quietFor        = 3 * second
+	slotsPerCore    = 4 // requests worked at side by side; the others wait
+)
+
+// A server is overdriven, and its work takes crowdedCost times as long, from when it has held over crowdedFrom
+// requests a core for crowdedFor until it has held under quietBelow for quietFor, as means over heldSpan.
+const (
+	crowdedFrom = 4.0
+	crowdedFor  = 2 * second
+	crowdedCost = 2.7
+	quietBelow  = 0.4
+	quietFor    = 3 * second
+	heldSpan    = 500_000.0
 )
 
 func newService(t *testing.T, balancers, endpoints int) *service {
