--- /dev/null
+++ b/cmd/pinedale/termination_test.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hangingEndpoint takes requests and never answers them. It remembers their ids.
+type hangingEndpoint struct {
+	address string
+
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func newHangingEndpoint(t *testing.T) *hangingEndpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	e := &hangingEndpoint{address: listener.Addr().String(), ids: map[string]bool{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.take(conn)
+		}
+	}()
+	return e
+}
+
+func (e *hangingEndpoint) take(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.ids[r.Header.Get("X-Correlation-Id")] = true
+		e.mu.Unlock()
+	}
+}
+
+func (e *hangingEndpoint) got(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ids[id]
+}
+
+// terminationConfig is a configuration with so many endpoints at one address and two classes, of which the longer
+// deadline is 0.7 s. With an endpoint for each request none is refused for the silence of others.
+func terminationConfig(listen, endpoint string, endpoints int) string {
+	hosts := make([]string, endpoints)
+	for i := range hosts {
+		hosts[i] = fmt.Sprintf(`{"host":"s-%d","dial":%q,"site":"a","health":"Ready","share":1}`, i, endpoint)
+	}
+	text := config(listen)
+	from, to := strings.Index(text, `[{"host"`), strings.Index(text, `]},`)
+	text = text[:from+1] + strings.Join(hosts, ",") + text[to:]
+	return strings.Replace(text, `"classes":[{"name":"read","repeat":"pure","target":600000,"give-up":1000000}]`,
+		`"classes":[{"name":"read","repeat":"pure","target":200000,"give-up":210000},`+
+			`{"name":"order","repeat":"side_effect","target":300000,"give-up":700000}]`, 1)
+}
+
+// lateRequest is a request that comes on a resting connection some time after SIGTERM.
+type lateRequest struct {
+	id, method, class string
+	after, timeLeft   time.Duration
+	conn              net.Conn
+	in                *bufio.Reader
+}
+
+func (r *lateRequest) write() error {
+	_, err := fmt.Fprintf(r.conn, "%s /%s HTTP/1.1\r\nHost: api\r\nX-Service-Class: %s\r\nX-Correlation-Id: %s\r\n"+
+		"X-Time-Left-Ms: %d\r\nContent-Length: 0\r\n\r\n", r.method, r.class, r.class, r.id, r.timeLeft.Milliseconds())
+	return err
+}
+
+// answered reads the final answer and reports whether it is whole.
+func (r *lateRequest) answered() bool {
+	response, err := http.ReadResponse(r.in, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
+// Whenever after SIGTERM a request comes on a connection that is still open, and however long its endpoint is
+// silent: what the process forwards has a whole final answer before the process ends.
+func TestTerminationAnswersWhatItForwards(t *testing.T) {
+	const (
+		step = 50 * time.Millisecond
+		last = 1400 * time.Millisecond // SIGKILL comes at the longest deadline and 0.7 s
+	)
+	endpoint, listen := newHangingEndpoint(t), freeAddress(t)
+	p := launch(t, command(t, terminationConfig(listen, endpoint.address, 100)))
+	await(t, "the program to be ready", func() bool { return code("http://"+listen+"/health/ready") == http.StatusOK })
+	var requests []*lateRequest
+	for after := time.Duration(0); after <= last; after += step {
+		for _, r := range []*lateRequest{
+			{method: http.MethodGet, class: "read", timeLeft: 210 * time.Millisecond},
+			{method: http.MethodPost, class: "order", timeLeft: 700 * time.Millisecond},
+		} {
+			conn, err := net.Dial("tcp", listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(20 * time.Second))
+			r.id, r.after, r.conn, r.in = fmt.Sprintf("late-%s-%d", r.class, after.Milliseconds()), after, conn, bufio.NewReader(conn)
+			requests = append(requests, r)
+		}
+	}
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	var wait sync.WaitGroup
+	for _, r := range requests {
+		wait.Add(1)
+		time.AfterFunc(r.after, func() {
+			defer wait.Done()
+			if r.write() == nil && !r.answered() && endpoint.got(r.id) {
+				t.Errorf("%s, %v after SIGTERM: forwarded, and no whole answer", r.id, r.after)
+			}
+		})
+	}
+	wait.Wait()
+	if err := p.Wait(); err != nil {
+		t.Errorf("the program ended with %v, want exit code 0", err)
+	}
+	if n := p.log.count("request cut off"); n > 0 {
+		t.Errorf("%d requests cut off by the end of the process", n)
+	}
+}
