Count a request's time from the arrival of its bytes, and find ends behind unread bytes

Cause: the client's time began when the request was read. Held up in the backlog or in a process that stands still, it was told to endpoints in full, and so were bodies whose last bytes waited for a slow endpoint. A client that wrote a whole long body and left was not seen to have left: its end lies behind bytes that nobody has read. A signal or a lack of memory during the look at a connection made a client that is there look gone. Change: TCP_INFO tells when the latest bytes came; POLLRDHUP tells an end behind bytes. An upload whose last bytes waited over 0.1 s, or whose client has left, is stopped before them.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -91,7 +91,7 @@
 			}
 		}
 	}()
-	a.http.Serve(&clients{Listener: listener, most: maxAdminCalls, maxAsked: maxAdminCalls})
+	a.http.Serve(&clients{Listener: listener, log: a.server.log, most: maxAdminCalls, maxAsked: maxAdminCalls})
 }
 
 func (a *admin) handle(w http.ResponseWriter, in *http.Request) {
@@ -157,8 +157,8 @@
 }
 
 // listenAdmin opens the second address.
-func listenAdmin(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+func listenAdmin(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := listenAt(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: %w", err)
 	}
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -15,7 +15,7 @@
 // second gives a running sidecar its second address, and a folder for its state.
 func (w *world) second(dir string) string {
 	w.t.Helper()
-	listener, err := listenAdmin("127.0.0.1:0")
+	listener, err := listenAdmin(w.t.Context(), "127.0.0.1:0")
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -136,7 +136,7 @@
 			t.Errorf("%q: %v, want an error that names admin_addr", address, err)
 		}
 	}
-	if _, err := listenAdmin("127.0.0.1:99999"); err == nil || !strings.Contains(err.Error(), "admin_addr") {
+	if _, err := listenAdmin(t.Context(), "127.0.0.1:99999"); err == nil || !strings.Contains(err.Error(), "admin_addr") {
 		t.Errorf("a port that there is not: %v", err)
 	}
 }
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -151,13 +151,21 @@
 	return nil
 }
 
-// hasLeft says that the client has ended its side, as far as that can be seen: behind
-// bytes that were not read yet it can't.
+// hasLeft says that the client has ended its side, also behind bytes that were not read yet.
 func (c *clientConn) hasLeft() bool {
 	c.mu.Lock()
 	known := c.ended
 	c.mu.Unlock()
-	return known || peek(c.Conn) == ended
+	if known {
+		return true
+	}
+	switch peek(c.Conn) {
+	case ended:
+		return true
+	case unread:
+		return hungUp(c.Conn)
+	}
+	return false
 }
 
 // boundBuffer bounds what the system takes of an answer before the client does, so
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/list"
+	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 // connections use up the descriptors that attempts and discovery need.
 type clients struct {
 	net.Listener
+	log      *slog.Logger // may be nil
 	most     int
 	maxAsked int
 
@@ -22,6 +25,8 @@
 	waiting list.List // of *clientConn, with no whole request; the longest without a byte first
 	closing list.List // of *clientConn, half-closed and drained until the client ends its side; oldest first
 	closes  closeCounts
+	failed  uint64    // accepts
+	logged  time.Time // the latest of them that the log has
 }
 
 const (
@@ -38,9 +43,14 @@
 func (l *clients) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) || isOneOf(err, brokenListener) {
 			return nil, err
 		}
+		if err != nil { // of this moment, or of one connection: net/http would end the service for some of them
+			l.acceptFailed(err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		accepted := time.Now()
 		c := &clientConn{Conn: raw, owner: l, accepted: accepted, begun: accepted}
 		switch l.admit(c) {
@@ -131,6 +141,17 @@
 	return l.open
 }
 
+// acceptFailed counts a failed accept, and records one a second at most.
+func (l *clients) acceptFailed(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed++
+	if l.log != nil && time.Since(l.logged) >= time.Second {
+		l.logged = time.Now()
+		l.log.Warn("accept", "error", err, "failed_so_far", l.failed)
+	}
+}
+
 // closed counts a connection that ended for this reason.
 func (l *clients) closed(reason closeReason) {
 	l.mu.Lock()
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -60,7 +60,11 @@
 // LoadConfig reads a configuration file, and what the environment adds to it. Its
 // errors name the key or variable at fault.
 func LoadConfig(path string) (*Config, error) {
-	data, err := os.ReadFile(path)
+	var data []byte
+	err := retryAtStart(context.Background(), func() (err error) {
+		data, err = os.ReadFile(path)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -86,7 +86,7 @@
 		// From here on the request's time runs.
 		m.upload.at = time.Now()
 		m.upload.written()
-		timed, cancel := context.WithDeadline(ctx, time.Now().Add(m.upload.left))
+		timed, cancel := context.WithDeadline(ctx, m.upload.due())
 		defer cancel()
 		c.ctx = timed
 		wake := context.AfterFunc(timed, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -274,7 +274,7 @@
 		up.written = func() {
 			l.post(func(at balancer.Micros) {
 				if !r.over {
-					r.deadline = at + up.left.Microseconds()
+					r.deadline = at + time.Until(up.due()).Microseconds()
 					l.balancer.Written(at, r.id, r.deadline)
 				}
 			})
--- a/internal/sidecar/passed.go
+++ b/internal/sidecar/passed.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -14,24 +15,33 @@
 
 // listen returns the clients' listener: the inherited one, or one at an address
 // of its own where none is passed.
-func listen(address, passed string) (net.Listener, error) {
+func listen(ctx context.Context, address, passed string) (net.Listener, error) {
 	if passed == "" {
-		listener, err := net.Listen("tcp", address)
+		listener, err := listenAt(ctx, address)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 		return listener, nil
 	}
-	listener, err := inherit(passed)
+	listener, err := inherit(ctx, passed)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", passedVar, err)
 	}
 	return listener, nil
 }
 
+// listenAt listens at an address, once the system lets it.
+func listenAt(ctx context.Context, address string) (listener net.Listener, err error) {
+	err = retryAtStart(ctx, func() error {
+		listener, err = net.Listen("tcp", address)
+		return err
+	})
+	return listener, err
+}
+
 // inherit takes a listening TCP socket over. To close the listener ends only this
 // process's hold on the socket: others go on accepting from it.
-func inherit(passed string) (net.Listener, error) {
+func inherit(ctx context.Context, passed string) (net.Listener, error) {
 	fd, err := strconv.Atoi(passed)
 	if err != nil || fd < 0 {
 		return nil, fmt.Errorf("%q is not the number of a descriptor", passed)
@@ -44,7 +54,11 @@
 		return nil, fmt.Errorf("descriptor %d does not listen", fd)
 	}
 	file := os.NewFile(uintptr(fd), "passed")
-	listener, err := net.FileListener(file) // has a descriptor of its own
+	var listener net.Listener
+	err = retryAtStart(ctx, func() error {
+		listener, err = net.FileListener(file) // has a descriptor of its own
+		return err
+	})
 	file.Close()
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
--- a/internal/sidecar/passed_test.go
+++ b/internal/sidecar/passed_test.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		passed, err := listen("127.0.0.1:1", fmt.Sprint(fd))
+		passed, err := listen(t.Context(), "127.0.0.1:1", fmt.Sprint(fd))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -69,7 +69,7 @@
 	for name, passed := range map[string]string{
 		"no number": "three", "negative": "-1", "not open": "1000000", "a file": fmt.Sprint(file.Fd()), "no listener": fmt.Sprint(udp.Fd()),
 	} {
-		if l, err := listen("127.0.0.1:0", passed); err == nil || !strings.Contains(err.Error(), passedVar) {
+		if l, err := listen(t.Context(), "127.0.0.1:0", passed); err == nil || !strings.Contains(err.Error(), passedVar) {
 			t.Errorf("%s: %v, %v, want an error that names %s", name, l, err, passedVar)
 		}
 	}
--- a/internal/sidecar/peek.go
+++ b/internal/sidecar/peek.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 )
 
 // readable says whether anything can be read of a connection: bytes, its end, or
@@ -21,23 +22,79 @@
 
 // peek looks at a connection without reading of it.
 func peek(c net.Conn) look {
-	raw, err := c.(syscall.Conn).SyscallConn()
+	found := ended
+	err := control(c, func(fd int) {
+		found = lookWith(func(b []byte) (int, error) {
+			n, _, err := syscall.Recvfrom(fd, b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return n, err
+		})
+	})
 	if err != nil {
 		return ended
 	}
-	found := ended
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return found
+}
+
+// lookWith tells what receive finds. That the system lacks something for a moment says nothing of the connection.
+func lookWith(receive func([]byte) (int, error)) look {
+	var b [1]byte
+	for {
+		n, err := receive(b[:])
 		switch {
-		case err == syscall.EAGAIN:
-			found = nothing
+		case err == syscall.EINTR:
+			continue
 		case err == nil && n > 0:
-			found = unread
+			return unread
+		case err == syscall.EAGAIN, err == syscall.ENOMEM, err == syscall.ENOBUFS:
+			return nothing
 		}
+		return ended
+	}
+}
+
+// hungUp reports whether the peer has ended its side or the connection is broken, also behind bytes that are still to
+// be read.
+func hungUp(c net.Conn) bool {
+	up := false
+	err := control(c, func(fd int) { up = pollHungUp(fd) })
+	return up || err != nil
+}
+
+// maxDataAge is the most that is believed of the system's word on when something came.
+const maxDataAge = maxTimeLeft
+
+// dataAge returns how long ago the latest bytes of a connection came to this machine, also where nobody has read them
+// since: the process may have been held up, or the connection not been accepted. 0 where that is not known.
+func dataAge(c net.Conn) time.Duration {
+	var age time.Duration
+	control(c, func(fd int) {
+		info, err := tcpInfo(fd)
+		if err != nil || info.State != tcpEstablished && info.State != tcpCloseWait {
+			return
+		}
+		age = time.Duration(info.Last_data_recv) * time.Millisecond
 	})
+	if age > maxDataAge {
+		return 0
+	}
+	return age
+}
+
+// The states of a TCP connection that may still carry a request, by Linux's numbers.
+const (
+	tcpEstablished = 1
+	tcpCloseWait   = 8
+)
+
+// control calls f with a connection's descriptor, unless that is closed.
+func control(c net.Conn, f func(fd int)) error {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return syscall.ENOTSOCK
+	}
+	raw, err := source.SyscallConn()
 	if err != nil {
-		return ended
+		return err
 	}
-	return found
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -58,7 +58,11 @@
 	}
 	start := time.Now()
 	dialer := u.currentDialer()
-	raw, err := dialer.DialContext(ctx, "tcp", t.address)
+	var raw net.Conn
+	err = retry(ctx, dialPatience, dialPause, isShortage, func() error {
+		raw, err = dialer.DialContext(ctx, "tcp", t.address)
+		return err
+	})
 	u.mu.Lock()
 	u.dialTime += time.Since(start)
 	if err != nil {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -60,13 +60,13 @@
 // Run serves until ctx ends, then answers what it has taken and returns. Any number of new configurations may come
 // at any time; each is in force, or refused, by the time that the next one is received.
 func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
-	listener, err := listen(cfg.Listen, cfg.Passed)
+	listener, err := listen(ctx, cfg.Listen, cfg.Passed)
 	if err != nil {
 		return err
 	}
 	var second net.Listener
 	if cfg.Admin != "" {
-		if second, err = listenAdmin(cfg.Admin); err != nil {
+		if second, err = listenAdmin(ctx, cfg.Admin); err != nil {
 			listener.Close()
 			return err
 		}
@@ -130,7 +130,8 @@
 	}()
 	select {
 	case err := <-served:
-		return fmt.Errorf("serve: %w", err)
+		s.log.Error("no more connections can be accepted", "error", err)
+		return errors.Join(fmt.Errorf("serve: %w", err), s.terminate())
 	case <-ctx.Done():
 	}
 	return s.terminate()
@@ -141,7 +142,7 @@
 
 func newServer(l *loop) *server {
 	s := &server{loop: l, log: l.log, processes: 1, admission: newRequestAdmission(),
-		clients: &clients{most: connections(l.cfg), maxAsked: l.cfg.Limits.Sockets / crowdPart}, acceptFor: acceptAfter}
+		clients: &clients{log: l.log, most: connections(l.cfg), maxAsked: l.cfg.Limits.Sockets / crowdPart}, acceptFor: acceptAfter}
 	l.relimit, l.closes = s.relimit, s.clients.closeCounts
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
@@ -252,9 +253,10 @@
 
 // handle reads a request, whole or as much as is held, and answers it.
 func (s *server) handle(w http.ResponseWriter, in *http.Request) {
-	arrived := s.loop.clock.now()
-	times := requestTimes{arrived: time.Now()}
 	c := in.Context().Value(connKey{}).(*clientConn)
+	age := dataAge(c.Conn) // it may have waited for this process
+	arrived := s.loop.clock.now() - age.Microseconds()
+	times := requestTimes{arrived: time.Now()}
 	if c.ambiguous() {
 		// What follows the head may hide another request: the connection ends here.
 		reject(w, in, bad("Content-Length beside another, or beside Transfer-Encoding"))
@@ -308,7 +310,7 @@
 		return
 	}
 	if req.Deadline > 0 { // its time counts from its last byte
-		req.Deadline += s.loop.clock.now() - arrived
+		req.Deadline += max(0, s.loop.clock.now()-dataAge(c.Conn).Microseconds()-arrived)
 	}
 	// The deadline for reading the request would otherwise end its context
 	// while the answer is still awaited.
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// maxUploadLag is the most that the last bytes of a body may wait for an endpoint to take what is ahead of them. An endpoint
+// may be told 0.15 s more than its client has left.
+const maxUploadLag = 100 * time.Millisecond
+
 // maxUploadTime is for a body to come, where it is passed on meanwhile.
 const maxUploadTime = 10 * time.Minute
 
@@ -27,6 +31,7 @@
 	mu   sync.Mutex // held by whoever reads
 	body *paced
 	at   time.Time // its last byte was passed on
+	came time.Time // the bytes read last came to this machine
 }
 
 // The phases of an upload. Once the last bytes may be out, the request may run; an
@@ -53,6 +58,7 @@
 	}
 	u.spent.Store(true)
 	n, err := u.body.Read(p)
+	u.came = time.Now().Add(-dataAge(u.body.conn.Conn))
 	if err == io.EOF {
 		u.finished.Store(true)
 	} else if err != nil {
@@ -68,6 +74,9 @@
 // halt keeps the last bytes from being written, so that the request never runs, and reports whether that came in time.
 func (u *upload) halt() bool { return u.phase.CompareAndSwap(passing, stopped) }
 
+// due is when the client's time is up, once the last byte is written.
+func (u *upload) due() time.Time { return u.came.Add(u.left) }
+
 // end takes the body back from the attempt: nothing may read it once the handler is
 // done. It waits for a read that is on its way, which the client's pace bounds.
 func (u *upload) end() {
@@ -76,8 +85,12 @@
 	defer u.mu.Unlock()
 }
 
-// close comes before the last bytes are written.
+// close comes before the last bytes are written. The endpoint was told the client's time as if it counted from then:
+// where the last bytes have waited for long, or the client for nothing, the request must not run.
 func (u *upload) close() error {
+	if time.Since(u.came) > maxUploadLag || u.body.conn.hasLeft() {
+		u.halt()
+	}
 	if !u.phase.CompareAndSwap(passing, closing) {
 		return errStopped
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -138,11 +138,11 @@
 }
 
 // unsent is the outcome of a request that was not written: the endpoint's
-// fault, unless the sidecar no longer wanted to send it, or the client to write it.
+// fault, unless this machine lacked something, the sidecar no longer wanted to send it, or the client to write it.
 func unsent(ctx context.Context, err error) balancer.Status {
 	var client *clientError
 	own := slices.ContainsFunc([]error{errClosed, errFull, errStopped, errGone, errLate}, func(e error) bool { return errors.Is(err, e) })
-	if own || ctx.Err() != nil || over(ctx) || errors.As(err, &client) {
+	if own || isShortage(err) || ctx.Err() != nil || over(ctx) || errors.As(err, &client) {
 		return balancer.Moot
 	}
 	return balancer.ConnectFailed
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -301,6 +301,8 @@
 	dir    *directory
 	stop   context.CancelFunc // as SIGTERM does
 	ended  chan error
+
+	wrap func(net.Listener) net.Listener // of clients; may be nil
 }
 
 // configure returns a configuration that knows the given list.
@@ -342,6 +344,21 @@
 		change(cfg)
 	}
 	w.launch(cfg)
+	w.untilReady()
+	return w
+}
+
+// startBehind does that with a listener of clients that a test has wrapped.
+func startBehind(t *testing.T, wrap func(net.Listener) net.Listener, hosts ...host) *world {
+	t.Helper()
+	w := &world{t: t, dir: newDirectory(t, hosts...), wrap: wrap}
+	w.launch(configure(t, w.dir.address, nil, hosts...))
+	w.untilReady()
+	return w
+}
+
+func (w *world) untilReady() {
+	w.t.Helper()
 	w.until("ready", func() bool {
 		response, err := http.Get(w.url + "/health/ready")
 		if err != nil {
@@ -350,7 +367,6 @@
 		response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
-	return w
 }
 
 // launch runs a sidecar until the test ends.
@@ -360,6 +376,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if w.wrap != nil {
+		listener = w.wrap(listener)
+	}
 	w.ended = make(chan error, 1)
 	w.url = "http://" + listener.Addr().String()
 	loopCtx, stopLoop := context.WithCancel(context.Background())
