--- a/internal/sidecar/syscalls_test.go
+++ b/internal/sidecar/syscalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"peatpost/balancer"
 )
 
 // faultyListener fails accepts with these errors, one after another, and then accepts.
@@ -192,3 +195,66 @@
 		t.Errorf("a byte: %d", got)
 	}
 }
+
+// An address that is not free at once is waited for; one that can't be had is an error.
+func TestStartWaitsForItsAddress(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := held.Addr().String()
+	got := make(chan error, 1)
+	go func() {
+		listener, err := listenAt(t.Context(), address)
+		if err == nil {
+			listener.Close()
+		}
+		got <- err
+	}()
+	time.AfterFunc(3*startPause, func() { held.Close() })
+	if err := <-got; err != nil {
+		t.Error(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	again, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if _, err := listenAt(ctx, address); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("with SIGTERM during the start: %v", err)
+	}
+}
+
+// A shortage of this machine's is waited out for a moment, and never held against the endpoint.
+func TestShortageAtADial(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	for what, c := range map[string]struct {
+		errors []error
+		want   balancer.Status
+	}{
+		"passes":         {[]error{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EINTR}, balancer.OK},
+		"stays":          {slices.Repeat([]error{syscall.ENOBUFS}, 1000), balancer.Moot},
+		"is no shortage": {slices.Repeat([]error{syscall.ENETUNREACH}, 1000), balancer.ConnectFailed},
+	} {
+		u := newTestUpstream(t, 1)
+		u.dialer.Control = func(string, string, syscall.RawConn) error {
+			if len(c.errors) == 0 {
+				return nil
+			}
+			err := c.errors[0]
+			c.errors = c.errors[1:]
+			return err
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		r := u.attempt(ctx, &target{address: e.address}, get("/"), &gate{})
+		cancel()
+		if r.status != c.want {
+			t.Errorf("%s: %v (%v), want %v", what, r.status, r.err, c.want)
+		}
+		if open := u.counts().open; c.want != balancer.OK && open != 0 {
+			t.Errorf("%s: %d connections are counted open", what, open)
+		}
+	}
+}
