Believe no warm start of an endpoint that the list before did not name

Cause: starts come by a wall clock that may be stepped. After a step back by more than the ramp time an endpoint that has just started passed for warm, and got a warm one's share. Change: one that appears, or restarts, while the list is followed is cold at most since the list before it; one that returns as the process that it was stays as it is. Result: two cases of TestStartsByASteppedClock, those of a clock behind, fail on the code before.

--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -25,7 +25,7 @@
 	}
 	b := &Balancer{
 		out: out, rng: source(seed),
-		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, cordoned: map[uint64]bool{},
+		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, cordoned: map[uint64]bool{}, departed: map[uint64]Micros{},
 		logged: map[string]Micros{},
 	}
 	b.applySettings(s)
--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -31,6 +31,9 @@
 		return b.forgotten(e)
 	})
 	b.listed = b.listed || kind != ListCached || !b.s.Subscribe
+	if kind != ListCached {
+		b.listedAt = now
+	}
 }
 
 // forgotten drops an endpoint that is gone with nothing out there, and says so.
@@ -38,10 +41,34 @@
 	forget := e.State == Gone && e.inflight+e.writing == 0
 	if forget && b.byID[e.ID] == e {
 		delete(b.byID, e.ID)
+		b.remember(e)
 	}
 	return forget
 }
 
+// maxDeparted bounds how many endpoints that are gone are remembered.
+const maxDeparted = 4096
+
+// remember keeps the start of an endpoint that is gone: it may come back as the process that it was.
+func (b *Balancer) remember(e *endpoint) {
+	if len(b.departed) >= maxDeparted {
+		clear(b.departed)
+	}
+	b.departed[e.Name] = e.StartTime
+}
+
+// startOf is when an endpoint that is new here, or was restarted, started. What a list says of that is by a
+// clock that may have been stepped: one that was not in the list before can't have been warm then, unless it
+// is one that had left.
+func (b *Balancer) startOf(now Micros, in *Endpoint) Micros {
+	since, known := b.departed[in.Name]
+	returned := known && since == in.StartTime
+	if b.listedAt > 0 && !returned && in.StartTime < b.listedAt-b.s.Contract.RampTime {
+		return now
+	}
+	return in.StartTime
+}
+
 func (b *Balancer) entry(now Micros, in *Endpoint, probe bool) {
 	e := b.byID[in.ID]
 	fresh := e == nil
@@ -58,6 +85,8 @@
 	started := in.StartTime
 	if started == 0 && fresh && b.listed {
 		started = now // it appeared while we watched
+	} else if started != 0 && (fresh || restarted) {
+		started = b.startOf(now, in)
 	}
 	if e.Endpoint, e.seen = *in, true; fresh {
 		b.recall(e)
--- a/balancer/membership_test.go
+++ b/balancer/membership_test.go
@@ -20,3 +20,40 @@
 		t.Errorf("it stands in the pool %d times", pooled)
 	}
 }
+
+// A start is believed cold where the list before says that it can't be old: clocks may be stepped, either way. An
+// endpoint that comes back as the process that it was stays warm, and so does what the first list names as old.
+func TestStartsByASteppedClock(t *testing.T) {
+	const hour = 3600 * second
+	const began = 10 * hour // of this balancer, by its own clock
+	old := Endpoint{ID: 1, Name: 1, Share: 1, StartTime: began - hour}
+	for name, c := range map[string]struct {
+		entry Endpoint
+		cold  bool
+	}{
+		"new, clocks agree":          {Endpoint{ID: 2, Name: 2, Share: 1, StartTime: began + 60*second}, true},
+		"new, by a clock behind":     {Endpoint{ID: 2, Name: 2, Share: 1, StartTime: began + 60*second - hour}, true},
+		"new, by a clock ahead":      {Endpoint{ID: 2, Name: 2, Share: 1, StartTime: began + 60*second + hour}, true},
+		"restarted, clocks agree":    {Endpoint{ID: 1, Name: 1, Share: 1, StartTime: began + 60*second}, true},
+		"restarted, a clock behind":  {Endpoint{ID: 1, Name: 1, Share: 1, StartTime: began + 60*second - hour}, true},
+		"the same, said once more":   {old, false},
+		"back as the process it was": {Endpoint{ID: 3, Name: 3, Share: 1, StartTime: began - hour}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, err := New(testSettings(), 7, &recorder{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Start(began)
+			left := Endpoint{ID: 3, Name: 3, Share: 1, StartTime: began - hour}
+			b.Members(began, ListFull, []Endpoint{old, left})
+			b.Members(began+second, ListFull, []Endpoint{old})
+			b.Members(began+60*second, ListDelta, nil)
+			now := began + 61*second
+			b.Members(now, ListDelta, []Endpoint{c.entry})
+			if got := b.byID[c.entry.ID].cold(now, b); got != c.cold {
+				t.Errorf("cold: %v, want %v", got, c.cold)
+			}
+		})
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -23,6 +23,8 @@
 	list         []*endpoint                // known endpoints in the order first heard of
 	cordoned     map[uint64]bool            // by name: whether operators have left it out
 	listed       bool                       // discovery has answered since the start
+	listedAt     Micros                     // when it last did; 0 before
+	departed     map[uint64]Micros          // starts of endpoints that are gone, by name
 	pool         []*endpoint                // endpoints with a fresh answer
 	turn         *endpoint                  // the cold one that may be sent to next
 	spare        float64                    // work that all cold ones together may still get,
