Keep state over disk faults and half writes; measure its spans by the machine's uptime

Causes, found with a shim of the disk and a stepped wall clock: a state that could not be written left another process's change marked as read and never taken up; one that could not be read was written over; a read that failed once was never repeated; a start ignored a file that it could not read for a moment; a place among the processes that could not be had was never tried again, nor was the word that this one serves. The time since an endpoint was put back, and the age of what was learned, were spans of the wall clock: a step back of an hour made one cold for an hour, a step ahead made it warm at once. Change: the state is synced before it replaces the old one, by a fixed temporary name; faults are a no and tried again; spans are kept by CLOCK_MONOTONIC (up_ms, beside since_ms and at_ms, which older processes read).

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -47,7 +47,7 @@
 func newAdmin(s *server) *admin {
 	cfg := s.loop.current.Load()
 	a := &admin{server: s, store: &store{dir: cfg.Host.Directory, sidecar: cfg.Name, log: s.loop.log,
-		keep: s.loop.rampTime, hold: s.hold}}
+		files: cfg.Host.files, time: s.loop.time, keep: s.loop.rampTime, hold: s.hold}}
 	a.calls = map[string]call{
 		"/admin/health":   {http.MethodGet, a.health},
 		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
@@ -67,8 +67,7 @@
 // load takes up what the process before this one was told. It comes before the loop
 // runs, so that nothing is sent to an endpoint that is left out.
 func (a *admin) load() {
-	st := a.store.read()
-	a.store.last = st
+	st := a.store.begin(a.server.loop.ctx)
 	a.server.drained.Store(st.Drained)
 	a.server.loop.mark(a.server.loop.clock.now(), st.Hosts)
 }
@@ -148,7 +147,7 @@
 	if !known {
 		return &refusal{http.StatusNotFound, "no endpoint has this name"}
 	}
-	return a.store.update(func(st *state) { st.set(name, out, time.Now()) })
+	return a.store.update(func(st *state) { st.set(name, out, a.store.time.now()) })
 }
 
 // drain has clients leave this sidecar, or lets them come again.
--- /dev/null
+++ b/internal/sidecar/durability_test.go
@@ -0,0 +1,320 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+// faultyDisk fails the operations that a test names, until it is mended.
+type faultyDisk struct {
+	mu   sync.Mutex
+	with map[string]error // by operation
+}
+
+func (d *faultyDisk) fail(operation string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.with = map[string]error{operation: err}
+}
+
+func (d *faultyDisk) mend() { d.fail("", nil) }
+
+func (d *faultyDisk) fault(operation string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.with[operation]
+}
+
+// ops are the operations of this disk. A write that fails has written a half.
+func (d *faultyDisk) ops() fileOps {
+	system := fileOps{}.orSystem()
+	return fileOps{
+		read: func(file *os.File, most int64) ([]byte, error) {
+			if err := d.fault("read"); err != nil {
+				return nil, &os.PathError{Op: "read", Path: file.Name(), Err: err}
+			}
+			return system.read(file, most)
+		},
+		write: func(file *os.File, text []byte) error {
+			if err := d.fault("write"); err != nil {
+				system.write(file, text[:len(text)/2])
+				return &os.PathError{Op: "write", Path: file.Name(), Err: err}
+			}
+			return system.write(file, text)
+		},
+		sync: func(file *os.File) error {
+			if err := d.fault("sync"); err != nil {
+				return &os.PathError{Op: "sync", Path: file.Name(), Err: err}
+			}
+			return system.sync(file)
+		},
+		rename: func(from, to string) error {
+			if err := d.fault("rename"); err != nil {
+				return &os.LinkError{Op: "rename", Old: from, New: to, Err: err}
+			}
+			return system.rename(from, to)
+		},
+	}
+}
+
+// steppedTime is a time source whose wall clock a test steps.
+type steppedTime struct {
+	mu   sync.Mutex
+	step time.Duration
+}
+
+func (s *steppedTime) by(step time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step = step
+}
+
+func (s *steppedTime) source() timeSource {
+	return timeSource{wall: func() time.Time {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return time.Now().Add(s.step)
+	}}
+}
+
+// newStore returns a store on a disk, and what it made hold last.
+func newStore(dir string, files fileOps, times timeSource) (s *store, held func() state) {
+	var mu sync.Mutex
+	var last state
+	s = &store{dir: dir, sidecar: "n0", log: slog.New(slog.DiscardHandler), files: files, time: times.orSystem(),
+		keep: func() time.Duration { return time.Minute }, hold: func(st state) {
+			mu.Lock()
+			defer mu.Unlock()
+			last = st
+		}}
+	return s, func() state {
+		mu.Lock()
+		defer mu.Unlock()
+		return last
+	}
+}
+
+func isOut(st state, name string) bool {
+	for _, m := range st.Hosts {
+		if m.Name == name {
+			return m.Out
+		}
+	}
+	return false
+}
+
+func (s *store) mark(name string, out bool) error {
+	return s.update(func(st *state) { st.set(name, out, s.time.now()) })
+}
+
+// While the disk fails, a call is a no, and nothing that was taken on before is lost; once it is well, the next call
+// is a yes, and both processes hold all that was ever said yes to.
+func TestStateOverDiskFaults(t *testing.T) {
+	for operation, errs := range map[string][]error{
+		"write": {syscall.ENOSPC, syscall.EIO}, "sync": {syscall.ENOSPC, syscall.EIO},
+		"rename": {syscall.ENOSPC, syscall.EIO}, "read": {syscall.EIO, syscall.ENFILE},
+	} {
+		for _, err := range errs {
+			t.Run(operation+" "+err.Error(), func(t *testing.T) {
+				dir, disk := t.TempDir(), &faultyDisk{}
+				s, held := newStore(dir, disk.ops(), timeSource{})
+				other, otherHeld := newStore(dir, fileOps{}, timeSource{})
+				if err := s.mark("a", true); err != nil {
+					t.Fatal(err)
+				}
+				if err := other.mark("b", true); err != nil { // not seen here yet
+					t.Fatal(err)
+				}
+				disk.fail(operation, err)
+				if err := s.mark("c", true); err == nil {
+					t.Error("a call is a yes while the disk fails")
+				}
+				s.refresh()
+				other.refresh()
+				if !isOut(held(), "a") || isOut(held(), "c") || isOut(otherHeld(), "c") {
+					t.Errorf("during the fault %+v and %+v hold", held(), otherHeld())
+				}
+				disk.mend()
+				s.refresh()
+				if !isOut(held(), "b") {
+					t.Errorf("what the other process was told is not taken up: %+v", held())
+				}
+				if err := s.mark("d", true); err != nil {
+					t.Fatal(err)
+				}
+				other.refresh()
+				for _, name := range []string{"a", "b", "d"} {
+					if !isOut(held(), name) || !isOut(otherHeld(), name) {
+						t.Errorf("%s: %+v and %+v hold", name, held(), otherHeld())
+					}
+				}
+				left, _ := filepath.Glob(filepath.Join(dir, "*.new*"))
+				if len(left) > 0 {
+					t.Errorf("left behind: %v", left)
+				}
+			})
+		}
+	}
+}
+
+// A start that can't read its folder waits for it; a fault that lasts longer is followed up, and what the process
+// before was told holds as soon as it can be read.
+func TestStartWithAFaultyDisk(t *testing.T) {
+	dir, disk := t.TempDir(), &faultyDisk{}
+	before, _ := newStore(dir, fileOps{}, timeSource{})
+	if err := before.mark("a", true); err != nil {
+		t.Fatal(err)
+	}
+	disk.fail("read", syscall.EIO)
+	waits, _ := newStore(dir, disk.ops(), timeSource{})
+	time.AfterFunc(3*startPause, disk.mend)
+	if st := waits.begin(t.Context()); !isOut(st, "a") {
+		t.Errorf("a start that waited holds %+v", st)
+	}
+	disk.fail("read", syscall.EIO)
+	ended, end := context.WithCancel(t.Context())
+	end()
+	s, held := newStore(dir, disk.ops(), timeSource{})
+	s.begin(ended)
+	s.refresh()
+	disk.mend()
+	if s.refresh(); !isOut(held(), "a") {
+		t.Errorf("once the disk is well, %+v holds", held())
+	}
+}
+
+// What a process that was killed in the middle of a write left behind costs nothing.
+func TestHalfAWriteIsIgnored(t *testing.T) {
+	dir := t.TempDir()
+	before, _ := newStore(dir, fileOps{}, timeSource{})
+	if err := before.mark("a", true); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{before.path() + ".new", filepath.Join(dir, memoryFile) + ".77"} {
+		if err := os.WriteFile(path, []byte(`{"version":1,"sidec`), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, held := newStore(dir, fileOps{}, timeSource{})
+	if st := s.begin(t.Context()); !isOut(st, "a") {
+		t.Errorf("%+v holds", st)
+	}
+	if err := s.mark("b", true); err != nil || !isOut(held(), "a") || !isOut(held(), "b") {
+		t.Errorf("%v; %+v holds", err, held())
+	}
+	newMemory(t.Context(), "n0", Host{Directory: dir}, slog.New(slog.DiscardHandler))
+	if left, _ := filepath.Glob(filepath.Join(dir, "*.[n7]*")); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
+
+// The time since an endpoint was put back is real time, in this process and in others, whatever the wall clock says.
+func TestSpansOverStepsOfTheWallClock(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			dir, times := t.TempDir(), &steppedTime{}
+			s, held := newStore(dir, fileOps{}, times.source())
+			for _, out := range []bool{true, false} {
+				if err := s.mark("a", out); err != nil {
+					t.Fatal(err)
+				}
+			}
+			times.by(step)
+			if err := s.mark("b", true); err != nil {
+				t.Fatal(err)
+			}
+			if hosts := held().Hosts; len(hosts) != 2 {
+				t.Fatalf("%+v holds: what was put back just now is forgotten", hosts)
+			}
+			later, _ := newStore(dir, fileOps{}, times.source())
+			back := later.begin(t.Context()).Hosts[0]
+			if age, known := later.time.age(back.since()); !known || age < -time.Millisecond || age > patience {
+				t.Errorf("put back %v ago, known %v", age, known)
+			}
+
+			host := Host{Directory: dir, time: times.source()}
+			m := newMemory(t.Context(), "n0", host, slog.New(slog.DiscardHandler))
+			const clock = 1_000_000_000
+			m.keep(clock, balancer.Learned{Pace: 1, Endpoints: []balancer.LearnedEndpoint{{Name: 1, PaceAt: clock - 5}}})
+			await(t, "the file", func() bool { return m.load(1) != nil })
+			times.by(0)
+			const other = clock + 77_000_000 // the clock of the next process
+			got := m.load(other)
+			if got == nil {
+				t.Fatal("what was learned just now is taken for old")
+			}
+			if at := got.Endpoints[0].PaceAt; at > other-5 || at < other-5-patience.Microseconds() {
+				t.Errorf("learned at %d by a clock that shows %d", at, other)
+			}
+		})
+	}
+}
+
+// A fault of the folder costs no request and no connection: only what staff ask for is a no meanwhile.
+func TestServingOverDiskFaults(t *testing.T) {
+	e, disk := newEndpoint(t, always(served)), &faultyDisk{}
+	w := startWith(t, nil, func(c *Config) { c.Host.files = disk.ops() }, ready("s-1", e.address))
+	address := w.second(t.TempDir())
+	if got := status(t, "POST", address, "/admin/quiesce"); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	disk.fail("sync", syscall.EIO)
+	if got := status(t, "POST", address, "/admin/resume"); got != http.StatusInternalServerError {
+		t.Errorf("a call that can't be stored: %d", got)
+	}
+	if got := w.send(w.request("read", "", time.Minute)); got.code != http.StatusOK || w.server.isReady() {
+		t.Errorf("a request meanwhile: %+v", got)
+	}
+	disk.mend()
+	if got := status(t, "POST", address, "/admin/resume"); got != http.StatusOK || !w.server.isReady() {
+		t.Errorf("the call afterwards: %d", got)
+	}
+}
+
+// A place among the processes is taken once the folder lets it be, and who was seen there stays seen while it can't
+// be looked at.
+func TestSeatsOverFaults(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	dir := filepath.Join(t.TempDir(), "later")
+	w.server.sit(t.Context(), dir)
+	if w.server.seat.Load() != nil {
+		t.Fatal("a place in a folder that there is not")
+	}
+	go w.server.company(t.Context(), dir)
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	w.until("a place", func() bool { return w.server.seat.Load() != nil })
+	other, err := takeSeat(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := other.ready(); err != nil {
+		t.Fatal(err)
+	}
+	w.until("the other process", w.server.relieved)
+	path := seatPath(dir, other.own)
+	if err := os.Rename(path, path+".gone"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(path, path); err != nil { // ELOOP: it can't be looked at
+		t.Fatal(err)
+	}
+	if !w.server.relieved() {
+		t.Error("the other process is not seen any more")
+	}
+	if _, err := lookAtSeat(path); err == nil || !strings.Contains(err.Error(), "symbolic") {
+		t.Errorf("the look ended with %v", err)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/files.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"syscall"
+)
+
+// fileOps are the operations on files that may fail for a while: a disk is full, or has errors. The zero value is that
+// of the system.
+type fileOps struct {
+	read   func(file *os.File, most int64) ([]byte, error)
+	write  func(file *os.File, text []byte) error
+	sync   func(file *os.File) error
+	rename func(from, to string) error
+}
+
+// orSystem returns the operations with the system's in place of those that are not set.
+func (o fileOps) orSystem() fileOps {
+	if o.read == nil {
+		o.read = func(file *os.File, most int64) ([]byte, error) { return io.ReadAll(io.LimitReader(file, most)) }
+	}
+	if o.write == nil {
+		o.write = func(file *os.File, text []byte) error {
+			_, err := file.Write(text)
+			return err
+		}
+	}
+	if o.sync == nil {
+		o.sync = (*os.File).Sync
+	}
+	if o.rename == nil {
+		o.rename = os.Rename
+	}
+	return o
+}
+
+// readFile reads a small file, and tells which one it was.
+func (o fileOps) readFile(path string) ([]byte, os.FileInfo, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return nil, nil, err
+	}
+	text, err := o.read(file, maxStateBytes)
+	return text, info, err
+}
+
+// replaceFile puts a file in place of another at once: nobody reads a part of it, whenever this process is ended. It
+// is on the disk by then where it is to be durable. One process at a time may write by way of a temporary name; what
+// one that was killed has left there is written over.
+func (o fileOps) replaceFile(path, temporary string, text []byte, durable bool) error {
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	err = o.write(file, text)
+	if err == nil && durable {
+		err = o.sync(file)
+	}
+	if err = errors.Join(err, file.Close()); err == nil {
+		err = o.rename(temporary, path)
+	}
+	if err != nil {
+		os.Remove(temporary)
+	}
+	return err
+}
+
+// isReadFault reports whether a file could not be read, though it may be there and whole.
+func isReadFault(err error) bool {
+	var path *fs.PathError
+	var errno syscall.Errno
+	return err != nil && !errors.Is(err, fs.ErrNotExist) && (errors.As(err, &path) || errors.As(err, &errno))
+}
+
+// lockFile locks a file without waiting, for as long as it is open.
+func lockFile(file *os.File, how int) error {
+	for {
+		err := syscall.Flock(int(file.Fd()), how|syscall.LOCK_NB)
+		if err != syscall.EINTR {
+			return err
+		}
+	}
+}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"log/slog"
+	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -23,8 +26,14 @@
 	dir  string
 	own  int
 	file *os.File
+
+	mu     sync.Mutex
+	others [maxProcesses]neighbour // by place, as last seen
 }
 
+// neighbour is another process of the sidecar.
+type neighbour struct{ alive, ready bool }
+
 func seatPath(dir string, i int) string {
 	return filepath.Join(dir, fmt.Sprintf("oakproxy-process.%d", i))
 }
@@ -36,10 +45,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
-			return &seat{dir: dir, own: i, file: file}, file.Truncate(0)
+		err = lockFile(file, syscall.LOCK_EX)
+		if err == nil {
+			err = file.Truncate(0) // the process before may have said that it was ready
+		}
+		if err == nil {
+			return &seat{dir: dir, own: i, file: file}, nil
 		}
 		file.Close()
+		if err != syscall.EWOULDBLOCK {
+			return nil, err
+		}
 	}
 	return nil, fmt.Errorf("%d processes share %s already", maxProcesses, dir)
 }
@@ -50,45 +66,87 @@
 	return err
 }
 
-// others counts the other processes, and those of them that serve.
-func (s *seat) others() (alive, ready int) {
+// count counts the other processes, and those of them that serve.
+func (s *seat) count() (alive, ready int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i := range maxProcesses {
 		if i == s.own {
 			continue
 		}
-		file, err := os.Open(seatPath(s.dir, i))
-		if err != nil {
-			continue // nobody ever sat there
+		if seen, err := lookAtSeat(seatPath(s.dir, i)); err == nil {
+			s.others[i] = seen // else as it was seen last
 		}
-		if syscall.Flock(int(file.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) == syscall.EWOULDBLOCK {
+		if s.others[i].alive {
 			alive++
-			text := make([]byte, len(seatReady))
-			if n, _ := file.ReadAt(text, 0); string(text[:n]) == seatReady {
-				ready++
-			}
 		}
-		file.Close()
+		if s.others[i].ready {
+			ready++
+		}
 	}
 	return alive, ready
 }
 
+// lookAtSeat tells who sits at a place. An error says that this can't be told for the moment.
+func lookAtSeat(path string) (neighbour, error) {
+	file, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return neighbour{}, nil // nobody ever sat there
+	}
+	if err != nil {
+		return neighbour{}, err
+	}
+	defer file.Close()
+	switch err := lockFile(file, syscall.LOCK_SH); err {
+	case nil:
+		return neighbour{}, nil
+	case syscall.EWOULDBLOCK:
+	default:
+		return neighbour{}, err
+	}
+	text := make([]byte, len(seatReady))
+	n, err := file.ReadAt(text, 0)
+	if err != nil && err != io.EOF {
+		return neighbour{}, err
+	}
+	return neighbour{alive: true, ready: string(text[:n]) == seatReady}, nil
+}
+
+// sit takes a place among the processes of this sidecar; where none is to be had for now, company goes on trying.
+func (s *server) sit(ctx context.Context, dir string) {
+	var own *seat
+	err := retryAtStart(ctx, func() (err error) {
+		own, err = takeSeat(dir)
+		return err
+	})
+	if err != nil {
+		s.log.Warn("other processes of this sidecar are not seen", "error", err)
+		return
+	}
+	s.seat.Store(own)
+}
+
 // company has the server live with other processes of its sidecar until ctx ends:
 // it takes its part of what the platform grants them together.
-func (s *server) company(ctx context.Context, log *slog.Logger) {
+func (s *server) company(ctx context.Context, dir string) {
 	tick := time.NewTicker(seatPoll)
 	defer tick.Stop()
 	notified, of := false, 1
 	for {
-		if alive, _ := s.seat.others(); alive+1 != of {
-			of = alive + 1
-			s.share(of)
-			log.Info("processes of this sidecar", "count", of)
+		if s.seat.Load() == nil {
+			if own, err := takeSeat(dir); err == nil {
+				s.seat.Store(own)
+			}
 		}
-		if !notified && s.loop.listed.Load() {
-			if err := s.seat.ready(); err != nil {
-				log.Warn("the other process is not told that this one serves", "error", err)
+		if own := s.seat.Load(); own != nil {
+			if alive, _ := own.count(); alive+1 != of {
+				of = alive + 1
+				s.share(of)
+				s.log.Info("processes of this sidecar", "count", of)
+			}
+			if !notified && s.loop.listed.Load() {
+				notified = own.ready() == nil // a full disk may take it later
 			}
-			notified = true
 		}
 		select {
 		case <-tick.C:
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"log/slog"
 	"os"
 	"strings"
 	"testing"
@@ -19,7 +18,7 @@
 	}
 	check := func(s *seat, alive, ready int) {
 		t.Helper()
-		if a, r := s.others(); a != alive || r != ready {
+		if a, r := s.count(); a != alive || r != ready {
 			t.Errorf("%d others alive, %d ready, want %d and %d", a, r, alive, ready)
 		}
 	}
@@ -55,10 +54,11 @@
 	w.until("other connections to end", func() bool { return w.server.clients.count() == 0 })
 	whole, room := w.server.clients.most, w.loop.up.room.most.Load()
 	dir := t.TempDir()
-	var err error
-	if w.server.seat, err = takeSeat(dir); err != nil {
+	own, err := takeSeat(dir)
+	if err != nil {
 		t.Fatal(err)
 	}
+	w.server.seat.Store(own)
 	for range whole {
 		w.dial()
 	}
@@ -67,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go w.server.company(t.Context(), slog.New(slog.DiscardHandler))
+	go w.server.company(t.Context(), dir)
 	half := (w.loop.cfg.Limits.Sockets/2 - socketSpare) / 2
 	w.until("connections beyond its part to end", func() bool { return w.server.clients.count() == half })
 	w.until("the part", func() bool { return w.loop.up.room.most.Load() == room/2 })
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -23,14 +23,17 @@
 // clock gives the balancer's time: microseconds that never run backwards, from
 // the Unix time at the start on, so that discovery's times map onto it as they
 // are.
-type clock struct{ base time.Time }
-
-func (c clock) now() balancer.Micros {
-	return c.base.UnixMicro() + time.Since(c.base).Microseconds()
+type clock struct {
+	base time.Time
+	unix balancer.Micros // Unix time at the base, by the wall clock of then
 }
 
+func newClock(wall func() time.Time) clock { return clock{time.Now(), wall().UnixMicro()} }
+
+func (c clock) now() balancer.Micros { return c.unix + time.Since(c.base).Microseconds() }
+
 func (c clock) time(at balancer.Micros) time.Time {
-	return c.base.Add(time.Duration(at-c.base.UnixMicro()) * time.Microsecond)
+	return c.base.Add(time.Duration(at-c.unix) * time.Microsecond)
 }
 
 // decider is what the loop needs of a *balancer.Balancer.
@@ -56,6 +59,7 @@
 type loop struct {
 	log    *slog.Logger
 	clock  clock
+	time   timeSource // of what outlives the process
 	up     *upstream
 	disc   *discovery
 	events chan func(now balancer.Micros)
@@ -77,14 +81,14 @@
 	ids       map[string]uint32 // of endpoints, by host name
 	lastEP    uint32            // the latest id given; none is given twice
 	fleet     map[uint32]*member
-	marks     map[string]mark        // what operators set, by host name
-	learned   *balancer.Learned      // to begin with; may be nil
-	keep      func(balancer.Learned) // takes what is known once a second; may be nil
-	from      position               // of the watch
-	heard     balancer.Micros        // when discovery answered last, or the start
-	calls     callCounts             // of discovery
-	unheard   bool                   // the last call failed
-	warned    balancer.Micros        // of such a failure
+	marks     map[string]mark                                   // what operators set, by host name
+	learned   *balancer.Learned                                 // to begin with; may be nil
+	keep      func(now balancer.Micros, known balancer.Learned) // takes what is known once a second; may be nil
+	from      position                                          // of the watch
+	heard     balancer.Micros                                   // when discovery answered last, or the start
+	calls     callCounts                                        // of discovery
+	unheard   bool                                              // the last call failed
+	warned    balancer.Micros                                   // of such a failure
 	stopWatch context.CancelFunc
 	stats     balancer.Stats // when last recorded, as are dials and asked
 	dials     upCounts
@@ -155,8 +159,9 @@
 }
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
+	times := cfg.Host.time.orSystem()
 	l := &loop{
-		log: log, clock: clock{time.Now()}, ctx: ctx,
+		log: log, clock: newClock(times.wall), time: times, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg), newBudget(cfg)), disc: newDiscovery(cfg),
 		events:   make(chan func(balancer.Micros), maxEvents),
 		urgent:   make(chan func(balancer.Micros), maxPriorityEvents),
@@ -203,7 +208,7 @@
 		case <-prune.C:
 			l.up.prune()
 			if l.keep != nil {
-				l.keep(l.balancer.Learned())
+				l.keep(l.clock.now(), l.balancer.Learned())
 			}
 		case <-stats.C:
 			l.logStats(l.clock.now())
@@ -401,7 +406,8 @@
 	}
 	for name, m := range l.marks {
 		if _, ok := next[name]; !ok && m.Out {
-			next[name] = mark{Name: name, SinceMS: now / 1000}
+			present := l.time.now()
+			next[name] = mark{Name: name, SinceMS: present.UnixMS, UpMS: present.UpMS}
 		}
 	}
 	old := l.marks
@@ -414,7 +420,11 @@
 			l.aim(id, l.fleet[id].last)
 		}
 		l.log.Info("by hand", "host", name, "out", m.Out)
-		l.balancer.Cordon(now, hashed(name), m.Out, m.SinceMS*1000)
+		since := now // at the latest
+		if age, known := l.time.age(m.since()); known {
+			since = now - max(0, age.Microseconds())
+		}
+		l.balancer.Cordon(now, hashed(name), m.Out, since)
 	}
 }
 
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -19,22 +20,30 @@
 // memory keeps what the balancer has learned in a file, for the process that
 // replaces this one. To lose it costs some seconds of worse service, no more.
 type memory struct {
-	dir, sidecar string
-	log          *slog.Logger
-	latest       chan balancer.Learned // to be written
+	path, temporary string
+	sidecar         string
+	files           fileOps
+	time            timeSource
+	log             *slog.Logger
+	latest          chan learned // to be written
 }
 
 // learned is the file's text.
 type learned struct {
 	Version int              `json:"version"`
 	Sidecar string           `json:"sidecar"`
-	AtMS    int64            `json:"at_ms"` // Unix time
+	AtMS    int64            `json:"at_ms"`    // Unix time
+	UpMS    int64            `json:"up_ms"`    // the same by the machine's uptime
+	Clock   balancer.Micros  `json:"clock_us"` // the same by the clock of the balancer that knew it
 	Learned balancer.Learned `json:"learned"`
 }
 
 // newMemory writes what it is given until ctx ends.
-func newMemory(ctx context.Context, sidecar, dir string, log *slog.Logger) *memory {
-	m := &memory{dir: dir, sidecar: sidecar, log: log, latest: make(chan balancer.Learned, 1)}
+func newMemory(ctx context.Context, sidecar string, host Host, log *slog.Logger) *memory {
+	path := filepath.Join(host.Directory, memoryFile)
+	m := &memory{path: path, temporary: fmt.Sprintf("%s.%d", path, os.Getpid()), sidecar: sidecar,
+		files: host.files.orSystem(), time: host.time.orSystem(), log: log, latest: make(chan learned, 1)}
+	m.removeLeftovers()
 	go func() {
 		for {
 			select {
@@ -51,36 +60,55 @@
 }
 
 // keep has it written soon, unless the last is still being written.
-func (m *memory) keep(l balancer.Learned) {
+func (m *memory) keep(now balancer.Micros, known balancer.Learned) {
+	at := m.time.now()
 	select {
-	case m.latest <- l:
+	case m.latest <- learned{stateVersion, m.sidecar, at.UnixMS, at.UpMS, now, known}:
 	default:
 	}
 }
 
-func (m *memory) write(l balancer.Learned) error {
-	text, err := json.Marshal(learned{stateVersion, m.sidecar, time.Now().UnixMilli(), l})
+func (m *memory) write(l learned) error {
+	text, err := json.Marshal(l)
 	if err != nil {
 		return err
 	}
-	return replaceFile(filepath.Join(m.dir, memoryFile), text)
+	return m.files.replaceFile(m.path, m.temporary, text, false)
 }
 
-// load returns what the process before this one knew, or nil.
-func (m *memory) load() *balancer.Learned {
-	text, _, err := readFile(filepath.Join(m.dir, memoryFile))
+// removeLeftovers removes what processes that were killed while they wrote have left. One that is about to be renamed
+// by another process may go, too: it writes the next a second later.
+func (m *memory) removeLeftovers() {
+	left, err := filepath.Glob(m.path + ".*")
+	if err != nil {
+		return // the pattern is at fault: the folder has odd characters
+	}
+	for _, path := range left {
+		os.Remove(path)
+	}
+}
+
+// load returns what the process before this one knew, by the balancer's clock of now, or nil.
+func (m *memory) load(now balancer.Micros) *balancer.Learned {
+	text, _, err := m.files.readFile(m.path)
 	if err != nil {
 		return nil
 	}
 	var l learned
 	err = json.Unmarshal(text, &l)
-	age := time.Since(time.UnixMilli(l.AtMS))
-	if err == nil && (l.Version != stateVersion || l.Sidecar != m.sidecar || age < 0 || age > maxLearnedAge) {
+	age, known := m.time.age(stamp{l.AtMS, l.UpMS})
+	if err == nil && (l.Version != stateVersion || l.Sidecar != m.sidecar || !known || age > maxLearnedAge) {
 		err = fmt.Errorf("version %d of sidecar %q, %v old", l.Version, l.Sidecar, age)
 	}
 	if err != nil {
 		m.log.Warn("what was learned is ignored", "error", err)
 		return nil
 	}
+	if l.Clock > 0 {
+		shift := now - age.Microseconds() - l.Clock // the clocks of two processes may be a step apart
+		for i := range l.Learned.Endpoints {
+			l.Learned.Endpoints[i].PaceAt += shift
+		}
+	}
 	return &l.Learned
 }
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -14,13 +15,13 @@
 // sidecar's is as good as none.
 func TestWhatWasLearnedIsKept(t *testing.T) {
 	dir := t.TempDir()
-	m := newMemory(t.Context(), "n0", dir, slog.New(slog.DiscardHandler))
-	if l := m.load(); l != nil {
+	m := newMemory(t.Context(), "n0", Host{Directory: dir}, slog.New(slog.DiscardHandler))
+	if l := m.load(0); l != nil {
 		t.Errorf("without a file: %+v", l)
 	}
-	m.keep(balancer.Learned{Pace: 1.5, Works: []balancer.LearnedWork{{Class: "read", Work: 2}}})
-	await(t, "the file", func() bool { return m.load() != nil })
-	if l := m.load(); l.Pace != 1.5 || len(l.Works) != 1 {
+	m.keep(1, balancer.Learned{Pace: 1.5, Works: []balancer.LearnedWork{{Class: "read", Work: 2}}})
+	await(t, "the file", func() bool { return m.load(0) != nil })
+	if l := m.load(0); l.Pace != 1.5 || len(l.Works) != 1 {
 		t.Errorf("loaded %+v", l)
 	}
 	path := filepath.Join(dir, memoryFile)
@@ -30,13 +31,15 @@
 	}
 	for name, text := range map[string]string{
 		"cut short": string(good[:40]), "another sidecar": strings.Replace(string(good), "n0", "n1", 1),
-		"another version": strings.Replace(string(good), `"version":1`, `"version":2`, 1),
-		"old":             strings.Replace(string(good), `"at_ms":1`, `"at_ms":0`, 1),
+		"another version":  strings.Replace(string(good), `"version":1`, `"version":2`, 1),
+		"old":              regexp.MustCompile(`"up_ms":[0-9]+`).ReplaceAllString(string(good), `"up_ms":1`),
+		"old, no uptime":   regexp.MustCompile(`"at_ms":1(.*)"up_ms":[0-9]+`).ReplaceAllString(string(good), `"at_ms":0$1"up_ms":0`),
+		"of a later start": regexp.MustCompile(`"up_ms":[0-9]+`).ReplaceAllString(string(good), `"up_ms":9000000000000`),
 	} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if l := m.load(); l != nil {
+		if l := m.load(0); l != nil {
 			t.Errorf("%s: loaded %+v", name, l)
 		}
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -53,8 +53,8 @@
 	limits    sync.Mutex // held while they are set
 	processes int        // of this sidecar, among which the limits are shared
 
-	acceptFor time.Duration // after SIGTERM
-	seat      *seat         // among the processes of this sidecar; nil where there can be no other
+	acceptFor time.Duration        // after SIGTERM
+	seat      atomic.Pointer[seat] // among the processes of this sidecar; nil where there can be no other
 }
 
 // Run serves until ctx ends, then answers what it has taken and returns. Any number of new configurations may come
@@ -86,17 +86,14 @@
 		}
 	}()
 	if cfg.Passed != "" { // another process may take over
-		m := newMemory(loopCtx, cfg.Name, cfg.Host.Directory, log)
-		l.learned, l.keep = m.load(), m.keep
+		m := newMemory(loopCtx, cfg.Name, cfg.Host, log)
+		l.learned, l.keep = m.load(l.clock.now()), m.keep
 	}
 	s := newServer(l)
 	s.share(1)
 	if cfg.Passed != "" {
-		if s.seat, err = takeSeat(cfg.Host.Directory); err != nil {
-			log.Warn("other processes of this sidecar are not seen", "error", err)
-		} else {
-			go s.company(loopCtx, log)
-		}
+		s.sit(ctx, cfg.Host.Directory)
+		go s.company(loopCtx, cfg.Host.Directory)
 	}
 	if second != nil {
 		a := newAdmin(s)
@@ -160,19 +157,21 @@
 
 // accompanied says whether another process of this sidecar runs.
 func (s *server) accompanied() bool {
-	if s.seat == nil {
+	seat := s.seat.Load()
+	if seat == nil {
 		return false
 	}
-	alive, _ := s.seat.others()
+	alive, _ := seat.count()
 	return alive > 0
 }
 
 // relieved says whether another process serves the clients that come from now on.
 func (s *server) relieved() bool {
-	if s.seat == nil {
+	seat := s.seat.Load()
+	if seat == nil {
 		return false
 	}
-	_, ready := s.seat.others()
+	_, ready := seat.count()
 	return ready > 0
 }
 
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -1,10 +1,10 @@
 package sidecar
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"log/slog"
 	"os"
@@ -39,21 +39,30 @@
 	Name    string `json:"host"`
 	Out     bool   `json:"out"`
 	SinceMS int64  `json:"since_ms"` // Unix time
+	UpMS    int64  `json:"up_ms"`    // the same by the machine's uptime: steps of the wall clock change no span
 }
 
+func (m *mark) since() stamp { return stamp{m.SinceMS, m.UpMS} }
+
 // store keeps the state in a file that the processes of one sidecar share while
 // one replaces the other, and sees to it that what either is told holds in both.
 type store struct {
 	dir, sidecar string
 	log          *slog.Logger
+	files        fileOps
+	time         timeSource
 	keep         func() time.Duration // how long it matters that an endpoint was put back
 	hold         func(state)          // makes a state hold in this process, before it returns
 
-	mu   sync.Mutex
-	last state       // what holds
-	file os.FileInfo // of the file that it was read from, if there was one
+	mu     sync.Mutex
+	last   state       // what holds
+	file   os.FileInfo // of the file that it was read from, if there was one
+	warned time.Time   // of a file that can't be read
 }
 
+// readWarnPause is between two lines on a file that can't be read.
+const readWarnPause = time.Second
+
 func (s *store) path() string { return filepath.Join(s.dir, stateFile) }
 
 // update changes the state. When it returns nil, the new one is stored and holds here.
@@ -65,12 +74,16 @@
 		return err
 	}
 	defer unlock()
-	next := s.read()
-	next.Hosts = slices.Clone(next.Hosts)
+	stored, err := s.read()
+	if err != nil {
+		return fmt.Errorf("state: %w", err) // what the other process was told may be in the file
+	}
+	next := stored
+	next.Hosts = slices.Clone(stored.Hosts)
 	change(&next)
-	old := time.Now().Add(-s.keep()).UnixMilli()
-	next.Hosts = slices.DeleteFunc(next.Hosts, func(m mark) bool { return !m.Out && m.SinceMS < old })
+	next.Hosts = slices.DeleteFunc(next.Hosts, func(m mark) bool { return !m.Out && s.expired(&m) })
 	if err := s.write(next); err != nil {
+		s.take(stored) // the other process's, perhaps, and read just now: refresh would pass over it
 		return err
 	}
 	s.take(next)
@@ -85,7 +98,29 @@
 	if err != nil || s.file != nil && os.SameFile(info, s.file) && info.ModTime().Equal(s.file.ModTime()) {
 		return
 	}
-	s.take(s.read())
+	if next, err := s.read(); err == nil {
+		s.take(next)
+	}
+}
+
+// expired reports whether it no longer matters that an endpoint was put back.
+func (s *store) expired(m *mark) bool {
+	age, known := s.time.age(m.since())
+	return known && age > s.keep()
+}
+
+// begin takes up what the process before this one was told. It comes before anything is sent; a file that can't be
+// read for the moment is waited for, and followed later on.
+func (s *store) begin(ctx context.Context) state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var st state
+	retry(ctx, startPatience, startPause, isReadFault, func() (err error) {
+		st, err = s.read()
+		return err
+	})
+	s.last = st
+	return st
 }
 
 func (s *store) take(next state) {
@@ -94,22 +129,31 @@
 }
 
 // read returns the stored state, or the one that holds where there is no file that
-// makes sense: then it says so.
-func (s *store) read() state {
+// makes sense: then it says so. A file that can't be read for the moment is an error, and read again later.
+func (s *store) read() (state, error) {
 	next, info, err := s.load()
-	s.file = info
-	if err != nil {
-		if !errors.Is(err, fs.ErrNotExist) {
-			s.log.Warn("state file ignored", "error", err)
+	switch {
+	case err == nil:
+		s.file = info
+		return next, nil
+	case isReadFault(err):
+		s.file = nil
+		if time.Since(s.warned) >= readWarnPause {
+			s.warned = time.Now()
+			s.log.Warn("state file can't be read", "error", err)
 		}
-		return s.last
+		return s.last, err
 	}
-	return next
+	s.file = info
+	if !errors.Is(err, fs.ErrNotExist) {
+		s.log.Warn("state file ignored", "error", err)
+	}
+	return s.last, nil
 }
 
 func (s *store) load() (state, os.FileInfo, error) {
 	var st state
-	text, info, err := readFile(s.path())
+	text, info, err := s.files.orSystem().readFile(s.path())
 	if err != nil {
 		return st, info, err
 	}
@@ -133,44 +177,13 @@
 	if err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
-	if err := replaceFile(s.path(), text); err != nil {
+	if err := s.files.orSystem().replaceFile(s.path(), s.path()+".new", text, true); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
 	s.file, _ = os.Stat(s.path()) // unknown, it is read once more
 	return nil
 }
 
-// readFile reads a small file, and tells which one it was.
-func readFile(path string) ([]byte, os.FileInfo, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, nil, err
-	}
-	defer file.Close()
-	info, err := file.Stat()
-	if err != nil {
-		return nil, nil, err
-	}
-	text, err := io.ReadAll(io.LimitReader(file, maxStateBytes))
-	return text, info, err
-}
-
-// replaceFile puts a file in place of another at once: nobody reads a part of it.
-func replaceFile(path string, text []byte) error {
-	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(text)
-	if err = errors.Join(err, file.Close()); err == nil {
-		err = os.Rename(file.Name(), path)
-	}
-	if err != nil {
-		os.Remove(file.Name())
-	}
-	return err
-}
-
 // lock keeps the other process from writing until the function that it returns is
 // called. What is locked is a file of its own, since the state's is replaced.
 func (s *store) lock() (unlock func(), err error) {
@@ -179,11 +192,11 @@
 		return nil, fmt.Errorf("state: %w", err)
 	}
 	for end := time.Now().Add(lockPatience); ; time.Sleep(lockPause) {
-		err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		err = lockFile(file, syscall.LOCK_EX)
 		if err == nil {
 			return func() { file.Close() }, nil
 		}
-		if err != syscall.EWOULDBLOCK && err != syscall.EINTR || time.Now().After(end) {
+		if err != syscall.EWOULDBLOCK || time.Now().After(end) {
 			file.Close()
 			return nil, fmt.Errorf("state: lock: %w", err)
 		}
@@ -191,8 +204,8 @@
 }
 
 // set marks an endpoint as left out or put back. A call repeated changes nothing.
-func (st *state) set(name string, out bool, now time.Time) {
-	next := mark{Name: strings.Clone(name), Out: out, SinceMS: now.UnixMilli()}
+func (st *state) set(name string, out bool, now stamp) {
+	next := mark{Name: strings.Clone(name), Out: out, SinceMS: now.UnixMS, UpMS: now.UpMS}
 	i := slices.IndexFunc(st.Hosts, func(m mark) bool { return m.Name == name })
 	switch {
 	case i < 0 && out:
