Write the log without waiting for whoever reads it

Cause: every line was written to standard error in place, also from the event loop. A reader of the log that stands still stopped all requests; one that is gone ended the process by SIGPIPE. Change: lines go through a bounded queue; what finds no room is counted and told. SIGPIPE is ignored.

--- /dev/null
+++ b/cmd/pinedale/log_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+)
+
+// setPipeSize is Linux's F_SETPIPE_SZ, and pipeSize the least that it sets.
+const (
+	setPipeSize = 1031
+	pipeSize    = 4096
+)
+
+// A log that nobody reads, or that is gone, neither holds a request up nor ends the process.
+func TestServesWithoutAReaderOfItsLog(t *testing.T) {
+	for what, gone := range map[string]bool{"stalled": false, "gone": true} {
+		t.Run(what, func(t *testing.T) {
+			listen := freeAddress(t)
+			cmd := command(t, withEndpoint(t, config(listen)))
+			cmd.Env = append(cmd.Env, levelVar+"=debug")
+			in, out, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer in.Close()
+			defer out.Close()
+			if _, _, errno := syscall.Syscall(syscall.SYS_FCNTL, out.Fd(), setPipeSize, pipeSize); errno != 0 {
+				t.Fatal(errno)
+			}
+			cmd.Stderr = out
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer cmd.Process.Kill()
+			if gone {
+				in.Close()
+			}
+			await(t, "the program to be ready", func() bool { return code("http://"+listen+"/health/ready") == http.StatusOK })
+			for i := range 100 { // each leaves lines of over 200 bytes together
+				if got := ask(t, listen, "read"); got != http.StatusOK {
+					t.Fatalf("request %d: %d", i, got)
+				}
+			}
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("the program ended with %v, want exit code 0", err)
+			}
+		})
+	}
+}
--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -10,7 +10,9 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"peatpost/internal/asynclog"
 	"peatpost/internal/sidecar"
 )
 
@@ -25,6 +27,9 @@
 // and ends are recorded with its id.
 const levelVar = "BALANCER_LOG_LEVEL"
 
+// logPatience is for the last lines of the log to be written at the end.
+const logPatience = 100 * time.Millisecond
+
 func logLevel() (level slog.Level, err error) {
 	text := os.Getenv(levelVar)
 	if text == "" {
@@ -54,6 +59,10 @@
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("sidecar", cfg.Name)
+	// Nobody may be reading the log: that must neither hold requests up nor end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	lines := asynclog.New(os.Stderr)
+	defer lines.Close(logPatience)
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level})).With("sidecar", cfg.Name)
 	return sidecar.Run(ctx, cfg, sidecar.Rereads(path, hangup), log)
 }
