Stop a request that its endpoint takes too slowly before its last byte

Cause: an endpoint is told what the client has left when the write begins. Where it does not read, the write waits, and it begins with more time than the client has. Change: of a request over 4 KiB the last byte waits for the rest; over 0.1 s later it is not written, and never ran.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -75,7 +75,7 @@
 	if err := u.pass(ctx, g, c.target); err != nil {
 		return nil, &unsentError{err}
 	}
-	if n, err := c.Write(data); n < len(data) {
+	if err := c.writeRequest(data); err != nil {
 		return nil, &unsentError{err}
 	}
 	written := time.Now()
@@ -110,6 +110,29 @@
 	return got, nil
 }
 
+// maxWriteAtOnce is the most that a connection's buffers surely take: a write of no more does not wait for the endpoint.
+const maxWriteAtOnce = 4 << 10
+
+// writeRequest writes a whole request, or fails before its last byte. The endpoint is told what the client had left
+// when the write began: where it takes the rest too late for that, the request must not run.
+func (c *conn) writeRequest(data []byte) error {
+	last := len(data) - 1
+	if len(data) <= maxWriteAtOnce {
+		last = 0
+	}
+	begun := time.Now()
+	if _, err := c.Write(data[:last]); err != nil {
+		return err
+	}
+	if time.Since(begun) > maxWriteLag {
+		return errLate
+	}
+	if n, err := c.Write(data[last:]); n < len(data)-last {
+		return err
+	}
+	return nil
+}
+
 // send passes a request's body on while it comes. Until its last byte is written
 // the request never ran; an endpoint that answers before that, or ends the
 // connection, has done with it.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -16,6 +16,10 @@
 	phase  atomic.Int32
 }
 
+// maxWriteLag is the most that the last bytes of a request may wait for its endpoint to take what is ahead of them. An
+// endpoint may be told 0.15 s more than the client has left.
+const maxWriteLag = 100 * time.Millisecond
+
 // The phases of a gate: it is passed or shut once, and for good.
 const (
 	waiting int32 = iota
@@ -26,7 +30,7 @@
 // Reasons for which nothing may begin.
 var (
 	errGone = errors.New("the client has left, or its request is over")
-	errLate = errors.New("a repeat may no longer be sent")
+	errLate = errors.New("it may no longer be sent")
 )
 
 // close keeps an attempt from beginning and says whether that came in time.
--- a/internal/sidecar/gate_test.go
+++ b/internal/sidecar/gate_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -126,3 +129,26 @@
 		})
 	}
 }
+
+// A request that its endpoint takes slowly is not finished: what it was told that the client has left would be wrong.
+func TestRequestThatIsTakenSlowlyNeverRuns(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	c := &conn{Conn: ours}
+	got := make(chan []byte)
+	go func() {
+		in := make([]byte, 2*maxWriteAtOnce)
+		n, _ := theirs.Read(in[:maxWriteAtOnce])
+		time.Sleep(2 * maxWriteLag)
+		rest, _ := io.ReadAll(theirs)
+		got <- append(in[:n], rest...)
+	}()
+	data := bytes.Repeat([]byte("x"), 2*maxWriteAtOnce)
+	if err := c.writeRequest(data); !errors.Is(err, errLate) {
+		t.Errorf("the write ended with %v", err)
+	}
+	ours.Close()
+	if n := len(<-got); n >= len(data) {
+		t.Errorf("all %d bytes came", n)
+	}
+}
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -9,10 +9,6 @@
 	"time"
 )
 
-// maxUploadLag is the most that the last bytes of a body may wait for an endpoint to take what is ahead of them. An endpoint
-// may be told 0.15 s more than its client has left.
-const maxUploadLag = 100 * time.Millisecond
-
 // maxUploadTime is for a body to come, where it is passed on meanwhile.
 const maxUploadTime = 10 * time.Minute
 
@@ -88,7 +84,7 @@
 // close comes before the last bytes are written. The endpoint was told the client's time as if it counted from then:
 // where the last bytes have waited for long, or the client for nothing, the request must not run.
 func (u *upload) close() error {
-	if time.Since(u.came) > maxUploadLag || u.body.conn.hasLeft() {
+	if time.Since(u.came) > maxWriteLag || u.body.conn.hasLeft() {
 		u.halt()
 	}
 	if !u.phase.CompareAndSwap(passing, closing) {
