--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := run(func(*sidecar.Host) {}); err != nil {
 		fmt.Fprintln(os.Stderr, "pinedale:", err)
 		os.Exit(1)
 	}
@@ -41,7 +41,8 @@
 	return level, nil
 }
 
-func run() error {
+// run is one sidecar. adjust may put shims into its host.
+func run(adjust func(*sidecar.Host)) error {
 	// Unhandled, SIGHUP would end the process.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -53,6 +54,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	adjust(&cfg.Host)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	level, err := logLevel()
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -16,17 +16,35 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"peatpost/internal/faults"
+	"peatpost/internal/sidecar"
 )
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
 	if os.Getenv("PINEDALE_TEST_RUN") != "" {
+		if orders := os.Getenv(ordersVar); orders != "" {
+			runWithShims(orders)
+		}
 		main()
 		os.Exit(0)
 	}
 	os.Exit(m.Run())
 }
 
+// ordersVar names the file of the orders for the shims of a program that is run with them.
+const ordersVar = "PINEDALE_TEST_ORDERS"
+
+// runWithShims is main with shims of the disk and the wall clock.
+func runWithShims(orders string) {
+	if err := run(func(host *sidecar.Host) { faults.Shim(host, orders) }); err != nil {
+		fmt.Fprintln(os.Stderr, "pinedale:", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
 // command runs the program with a configuration file of this text.
 func command(t *testing.T, config string) *exec.Cmd {
 	t.Helper()
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -47,7 +47,7 @@
 func newAdmin(s *server) *admin {
 	cfg := s.loop.current.Load()
 	a := &admin{server: s, store: &store{dir: cfg.Host.Directory, sidecar: cfg.Name, log: s.loop.log,
-		files: cfg.Host.files, time: s.loop.time, keep: s.loop.rampTime, hold: s.hold}}
+		files: cfg.Host.Files, time: s.loop.time, keep: s.loop.rampTime, hold: s.hold}}
 	a.calls = map[string]call{
 		"/admin/health":   {http.MethodGet, a.health},
 		"/admin/cordon":   {http.MethodPost, func(in *http.Request) error { return a.cordon(in, true) }},
--- a/internal/sidecar/durability_test.go
+++ b/internal/sidecar/durability_test.go
@@ -36,33 +36,33 @@
 }
 
 // ops are the operations of this disk. A write that fails has written a half.
-func (d *faultyDisk) ops() fileOps {
-	system := fileOps{}.orSystem()
-	return fileOps{
-		read: func(file *os.File, most int64) ([]byte, error) {
+func (d *faultyDisk) ops() FileOps {
+	system := FileOps{}.OrSystem()
+	return FileOps{
+		Read: func(file *os.File, most int64) ([]byte, error) {
 			if err := d.fault("read"); err != nil {
 				return nil, &os.PathError{Op: "read", Path: file.Name(), Err: err}
 			}
-			return system.read(file, most)
+			return system.Read(file, most)
 		},
-		write: func(file *os.File, text []byte) error {
+		Write: func(file *os.File, text []byte) error {
 			if err := d.fault("write"); err != nil {
-				system.write(file, text[:len(text)/2])
+				system.Write(file, text[:len(text)/2])
 				return &os.PathError{Op: "write", Path: file.Name(), Err: err}
 			}
-			return system.write(file, text)
+			return system.Write(file, text)
 		},
-		sync: func(file *os.File) error {
+		Sync: func(file *os.File) error {
 			if err := d.fault("sync"); err != nil {
 				return &os.PathError{Op: "sync", Path: file.Name(), Err: err}
 			}
-			return system.sync(file)
+			return system.Sync(file)
 		},
-		rename: func(from, to string) error {
+		Rename: func(from, to string) error {
 			if err := d.fault("rename"); err != nil {
 				return &os.LinkError{Op: "rename", Old: from, New: to, Err: err}
 			}
-			return system.rename(from, to)
+			return system.Rename(from, to)
 		},
 	}
 }
@@ -79,8 +79,8 @@
 	s.step = step
 }
 
-func (s *steppedTime) source() timeSource {
-	return timeSource{wall: func() time.Time {
+func (s *steppedTime) source() TimeSource {
+	return TimeSource{Wall: func() time.Time {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return time.Now().Add(s.step)
@@ -88,10 +88,10 @@
 }
 
 // newStore returns a store on a disk, and what it made hold last.
-func newStore(dir string, files fileOps, times timeSource) (s *store, held func() state) {
+func newStore(dir string, files FileOps, times TimeSource) (s *store, held func() state) {
 	var mu sync.Mutex
 	var last state
-	s = &store{dir: dir, sidecar: "n0", log: slog.New(slog.DiscardHandler), files: files, time: times.orSystem(),
+	s = &store{dir: dir, sidecar: "n0", log: slog.New(slog.DiscardHandler), files: files, time: times.OrSystem(),
 		keep: func() time.Duration { return time.Minute }, hold: func(st state) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -127,8 +127,8 @@
 		for _, err := range errs {
 			t.Run(operation+" "+err.Error(), func(t *testing.T) {
 				dir, disk := t.TempDir(), &faultyDisk{}
-				s, held := newStore(dir, disk.ops(), timeSource{})
-				other, otherHeld := newStore(dir, fileOps{}, timeSource{})
+				s, held := newStore(dir, disk.ops(), TimeSource{})
+				other, otherHeld := newStore(dir, FileOps{}, TimeSource{})
 				if err := s.mark("a", true); err != nil {
 					t.Fatal(err)
 				}
@@ -171,12 +171,12 @@
 // before was told holds as soon as it can be read.
 func TestStartWithAFaultyDisk(t *testing.T) {
 	dir, disk := t.TempDir(), &faultyDisk{}
-	before, _ := newStore(dir, fileOps{}, timeSource{})
+	before, _ := newStore(dir, FileOps{}, TimeSource{})
 	if err := before.mark("a", true); err != nil {
 		t.Fatal(err)
 	}
 	disk.fail("read", syscall.EIO)
-	waits, _ := newStore(dir, disk.ops(), timeSource{})
+	waits, _ := newStore(dir, disk.ops(), TimeSource{})
 	time.AfterFunc(3*startPause, disk.mend)
 	if st := waits.begin(t.Context()); !isOut(st, "a") {
 		t.Errorf("a start that waited holds %+v", st)
@@ -184,7 +184,7 @@
 	disk.fail("read", syscall.EIO)
 	ended, end := context.WithCancel(t.Context())
 	end()
-	s, held := newStore(dir, disk.ops(), timeSource{})
+	s, held := newStore(dir, disk.ops(), TimeSource{})
 	s.begin(ended)
 	s.refresh()
 	disk.mend()
@@ -196,7 +196,7 @@
 // What a process that was killed in the middle of a write left behind costs nothing.
 func TestHalfAWriteIsIgnored(t *testing.T) {
 	dir := t.TempDir()
-	before, _ := newStore(dir, fileOps{}, timeSource{})
+	before, _ := newStore(dir, FileOps{}, TimeSource{})
 	if err := before.mark("a", true); err != nil {
 		t.Fatal(err)
 	}
@@ -205,7 +205,7 @@
 			t.Fatal(err)
 		}
 	}
-	s, held := newStore(dir, fileOps{}, timeSource{})
+	s, held := newStore(dir, FileOps{}, TimeSource{})
 	if st := s.begin(t.Context()); !isOut(st, "a") {
 		t.Errorf("%+v holds", st)
 	}
@@ -223,7 +223,7 @@
 	for _, step := range []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour} {
 		t.Run(step.String(), func(t *testing.T) {
 			dir, times := t.TempDir(), &steppedTime{}
-			s, held := newStore(dir, fileOps{}, times.source())
+			s, held := newStore(dir, FileOps{}, times.source())
 			for _, out := range []bool{true, false} {
 				if err := s.mark("a", out); err != nil {
 					t.Fatal(err)
@@ -236,13 +236,13 @@
 			if hosts := held().Hosts; len(hosts) != 2 {
 				t.Fatalf("%+v holds: what was put back just now is forgotten", hosts)
 			}
-			later, _ := newStore(dir, fileOps{}, times.source())
+			later, _ := newStore(dir, FileOps{}, times.source())
 			back := later.begin(t.Context()).Hosts[0]
 			if age, known := later.time.age(back.since()); !known || age < -time.Millisecond || age > patience {
 				t.Errorf("put back %v ago, known %v", age, known)
 			}
 
-			host := Host{Directory: dir, time: times.source()}
+			host := Host{Directory: dir, Time: times.source()}
 			m := newMemory(t.Context(), "n0", host, slog.New(slog.DiscardHandler))
 			const clock = 1_000_000_000
 			m.keep(clock, balancer.Learned{Pace: 1, Endpoints: []balancer.LearnedEndpoint{{Name: 1, PaceAt: clock - 5}}})
@@ -263,7 +263,7 @@
 // A fault of the folder costs no request and no connection: only what staff ask for is a no meanwhile.
 func TestServingOverDiskFaults(t *testing.T) {
 	e, disk := newEndpoint(t, always(served)), &faultyDisk{}
-	w := startWith(t, nil, func(c *Config) { c.Host.files = disk.ops() }, ready("s-1", e.address))
+	w := startWith(t, nil, func(c *Config) { c.Host.Files = disk.ops() }, ready("s-1", e.address))
 	address := w.second(t.TempDir())
 	if got := status(t, "POST", address, "/admin/quiesce"); got != http.StatusOK {
 		t.Fatal(got)
--- a/internal/sidecar/files.go
+++ b/internal/sidecar/files.go
@@ -8,37 +8,37 @@
 	"syscall"
 )
 
-// fileOps are the operations on files that may fail for a while: a disk is full, or has errors. The zero value is that
+// FileOps are the operations on files that may fail for a while: a disk is full, or has errors. The zero value is that
 // of the system.
-type fileOps struct {
-	read   func(file *os.File, most int64) ([]byte, error)
-	write  func(file *os.File, text []byte) error
-	sync   func(file *os.File) error
-	rename func(from, to string) error
+type FileOps struct {
+	Read   func(file *os.File, most int64) ([]byte, error)
+	Write  func(file *os.File, text []byte) error
+	Sync   func(file *os.File) error
+	Rename func(from, to string) error
 }
 
-// orSystem returns the operations with the system's in place of those that are not set.
-func (o fileOps) orSystem() fileOps {
-	if o.read == nil {
-		o.read = func(file *os.File, most int64) ([]byte, error) { return io.ReadAll(io.LimitReader(file, most)) }
+// OrSystem returns the operations with the system's in place of those that are not set.
+func (o FileOps) OrSystem() FileOps {
+	if o.Read == nil {
+		o.Read = func(file *os.File, most int64) ([]byte, error) { return io.ReadAll(io.LimitReader(file, most)) }
 	}
-	if o.write == nil {
-		o.write = func(file *os.File, text []byte) error {
+	if o.Write == nil {
+		o.Write = func(file *os.File, text []byte) error {
 			_, err := file.Write(text)
 			return err
 		}
 	}
-	if o.sync == nil {
-		o.sync = (*os.File).Sync
+	if o.Sync == nil {
+		o.Sync = (*os.File).Sync
 	}
-	if o.rename == nil {
-		o.rename = os.Rename
+	if o.Rename == nil {
+		o.Rename = os.Rename
 	}
 	return o
 }
 
 // readFile reads a small file, and tells which one it was.
-func (o fileOps) readFile(path string) ([]byte, os.FileInfo, error) {
+func (o FileOps) readFile(path string) ([]byte, os.FileInfo, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, nil, err
@@ -48,24 +48,24 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	text, err := o.read(file, maxStateBytes)
+	text, err := o.Read(file, maxStateBytes)
 	return text, info, err
 }
 
 // replaceFile puts a file in place of another at once: nobody reads a part of it, whenever this process is ended. It
 // is on the disk by then where it is to be durable. One process at a time may write by way of a temporary name; what
 // one that was killed has left there is written over.
-func (o fileOps) replaceFile(path, temporary string, text []byte, durable bool) error {
+func (o FileOps) replaceFile(path, temporary string, text []byte, durable bool) error {
 	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
 	}
-	err = o.write(file, text)
+	err = o.Write(file, text)
 	if err == nil && durable {
-		err = o.sync(file)
+		err = o.Sync(file)
 	}
 	if err = errors.Join(err, file.Close()); err == nil {
-		err = o.rename(temporary, path)
+		err = o.Rename(temporary, path)
 	}
 	if err != nil {
 		os.Remove(temporary)
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -12,8 +12,8 @@
 	Directory   string            // of the files that the processes of one sidecar share
 	LimitMemory func(bytes int64) // sets the memory limit of the process; may be nil
 
-	files fileOps
-	time  timeSource
+	Files FileOps    // may fail
+	Time  TimeSource // may be stepped
 }
 
 // ownProcess is the host of a sidecar that has its process to itself.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -59,7 +59,7 @@
 type loop struct {
 	log    *slog.Logger
 	clock  clock
-	time   timeSource // of what outlives the process
+	time   TimeSource // of what outlives the process
 	up     *upstream
 	disc   *discovery
 	events chan func(now balancer.Micros)
@@ -159,9 +159,9 @@
 }
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
-	times := cfg.Host.time.orSystem()
+	times := cfg.Host.Time.OrSystem()
 	l := &loop{
-		log: log, clock: newClock(times.wall), time: times, ctx: ctx,
+		log: log, clock: newClock(times.Wall), time: times, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg), newBudget(cfg)), disc: newDiscovery(cfg),
 		events:   make(chan func(balancer.Micros), maxEvents),
 		urgent:   make(chan func(balancer.Micros), maxPriorityEvents),
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -22,8 +22,8 @@
 type memory struct {
 	path, temporary string
 	sidecar         string
-	files           fileOps
-	time            timeSource
+	files           FileOps
+	time            TimeSource
 	log             *slog.Logger
 	latest          chan learned // to be written
 }
@@ -42,7 +42,7 @@
 func newMemory(ctx context.Context, sidecar string, host Host, log *slog.Logger) *memory {
 	path := filepath.Join(host.Directory, memoryFile)
 	m := &memory{path: path, temporary: fmt.Sprintf("%s.%d", path, os.Getpid()), sidecar: sidecar,
-		files: host.files.orSystem(), time: host.time.orSystem(), log: log, latest: make(chan learned, 1)}
+		files: host.Files.OrSystem(), time: host.Time.OrSystem(), log: log, latest: make(chan learned, 1)}
 	m.removeLeftovers()
 	go func() {
 		for {
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -49,8 +49,8 @@
 type store struct {
 	dir, sidecar string
 	log          *slog.Logger
-	files        fileOps
-	time         timeSource
+	files        FileOps
+	time         TimeSource
 	keep         func() time.Duration // how long it matters that an endpoint was put back
 	hold         func(state)          // makes a state hold in this process, before it returns
 
@@ -153,7 +153,7 @@
 
 func (s *store) load() (state, os.FileInfo, error) {
 	var st state
-	text, info, err := s.files.orSystem().readFile(s.path())
+	text, info, err := s.files.OrSystem().readFile(s.path())
 	if err != nil {
 		return st, info, err
 	}
@@ -177,7 +177,7 @@
 	if err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
-	if err := s.files.orSystem().replaceFile(s.path(), s.path()+".new", text, true); err != nil {
+	if err := s.files.OrSystem().replaceFile(s.path(), s.path()+".new", text, true); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
 	s.file, _ = os.Stat(s.path()) // unknown, it is read once more
--- a/internal/sidecar/timesource.go
+++ b/internal/sidecar/timesource.go
@@ -6,19 +6,19 @@
 	"unsafe"
 )
 
-// timeSource tells the time to what outlives a process. The zero value is that of the system.
-type timeSource struct {
-	wall func() time.Time     // may be stepped, either way
-	up   func() time.Duration // runs on evenly, for all processes of a machine, from its start on
+// TimeSource tells the time to what outlives a process. The zero value is that of the system.
+type TimeSource struct {
+	Wall   func() time.Time     // may be stepped, either way
+	Uptime func() time.Duration // runs on evenly, for all processes of a machine, from its start on
 }
 
-// orSystem returns the source with the system's clocks in place of those that are not set.
-func (s timeSource) orSystem() timeSource {
-	if s.wall == nil {
-		s.wall = time.Now
+// OrSystem returns the source with the system's clocks in place of those that are not set.
+func (s TimeSource) OrSystem() TimeSource {
+	if s.Wall == nil {
+		s.Wall = time.Now
 	}
-	if s.up == nil {
-		s.up = uptime
+	if s.Uptime == nil {
+		s.Uptime = uptime
 	}
 	return s
 }
@@ -30,15 +30,15 @@
 }
 
 // now returns the present instant.
-func (s timeSource) now() stamp { return stamp{s.wall().UnixMilli(), s.up().Milliseconds()} }
+func (s TimeSource) now() stamp { return stamp{s.Wall().UnixMilli(), s.Uptime().Milliseconds()} }
 
 // age returns how long ago an instant was. It is not known of one that is ahead of the machine's uptime, which is
 // that of an earlier start of the machine.
-func (s timeSource) age(at stamp) (age time.Duration, known bool) {
+func (s TimeSource) age(at stamp) (age time.Duration, known bool) {
 	if at.UpMS > 0 {
-		age = s.up() - time.Duration(at.UpMS)*time.Millisecond
+		age = s.Uptime() - time.Duration(at.UpMS)*time.Millisecond
 	} else {
-		age = s.wall().Sub(time.UnixMilli(at.UnixMS))
+		age = s.Wall().Sub(time.UnixMilli(at.UnixMS))
 	}
 	return age, age >= -time.Millisecond // it was cut to whole milliseconds
 }
