Read nothing of a connection whose end is out

Cause: after the sidecar had ended its side it read on, so that a request that crossed the end was read, and its connection closed with no answer.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -209,8 +209,9 @@
 
 // Close is the one way in which a client's connection ends, but for one that gives way.
 // Closed over something unread the connection would be reset, and an answer that the client
-// has not read yet would go with it: the sidecar ends its side, reads on until the client has
-// ended its own, for a while, and closes then. Nothing that it reads there is a request.
+// has not read yet would go with it: the sidecar ends its side, waits until the client has
+// ended its own, for a while, and closes then. It reads nothing any more: a request that
+// crosses is not taken, and its client may send it again.
 func (c *clientConn) Close() error { return c.closeFor(c.reason()) }
 
 // reason says why net/http closes the connection now.
@@ -256,7 +257,7 @@
 	}
 	go func() {
 		c.Conn.SetReadDeadline(time.Now().Add(closeDrain))
-		c.drain(maxDrainBytes)
+		awaitHangUp(c.Conn)
 		c.finish()
 	}()
 	return nil
--- a/internal/sidecar/close_test.go
+++ b/internal/sidecar/close_test.go
@@ -71,6 +71,9 @@
 			if _, err := c.Read(make([]byte, 1)); err == nil {
 				t.Error("something was read after the close")
 			}
+			if peek(c.Conn) != unread {
+				t.Error("what crossed the close was read")
+			}
 			client.Close()
 			await(t, "the end of the connection", func() bool { return d.count() == 0 })
 		})
--- a/internal/sidecar/peek.go
+++ b/internal/sidecar/peek.go
@@ -60,6 +60,18 @@
 	return up || err != nil
 }
 
+// awaitHangUp waits until the peer has ended its side or the connection is broken, or its read deadline has passed. It
+// reads nothing.
+func awaitHangUp(c net.Conn) {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := source.SyscallConn(); err == nil {
+		raw.Read(func(fd uintptr) (hungUp bool) { return pollHungUp(int(fd)) })
+	}
+}
+
 // maxDataAge is the most that is believed of the system's word on when something came.
 const maxDataAge = maxTimeLeft
 
