--- /dev/null
+++ b/internal/sidecar/fleet.go
@@ -0,0 +1,136 @@
+package sidecar
+
+import (
+	"peatpost/balancer"
+)
+
+// member is what the loop holds of an endpoint until it is gone and nothing is
+// out there any more. Endpoints come and go all day under ever new names.
+type member struct {
+	name   string
+	last   host    // discovery's latest word of it
+	target *target // nil unless ready and not left out
+	out    int     // attempts and probes without outcome
+	gone   bool
+}
+
+// members passes on a list and brings the targets in line with it.
+func (l *loop) members(now balancer.Micros, kind balancer.ListKind, list registry) {
+	older := list.Seq < l.from.newest
+	l.from = position{&list.Seq, list.Seq, l.clock.time(now).Add(l.disc.older)}
+	if list.lost > 0 {
+		l.log.Warn("entries of discovery's list can't be used", "lost", list.lost, "of", len(list.Hosts), "first", list.fault)
+	}
+	entries := make([]balancer.Endpoint, 0, len(list.Hosts))
+	named := map[uint32]bool{}
+	for _, h := range list.Hosts {
+		id := l.ids[h.Name]
+		if id == 0 {
+			if states[h.Health] == balancer.Gone {
+				continue
+			}
+			l.lastEP++
+			id = l.lastEP
+			l.ids[h.Name], l.fleet[id] = id, &member{name: h.Name}
+		}
+		if e := l.fleet[id]; older && e.last.Health == "Terminating" && e.last.BornMS == h.BornMS {
+			h.Health = e.last.Health // what was told is not undone by what may be older
+		}
+		named[id] = true
+		e := balancer.Endpoint{ID: id, Name: hashed(h.Name), Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
+			Cell: h.Block, State: states[h.Health], Share: h.Share}
+		if h.BornMS > 0 {
+			e.StartTime = h.BornMS * 1000
+		}
+		entries = append(entries, e)
+		l.aim(id, h)
+	}
+	ready := false
+	for id, e := range l.fleet {
+		if kind != balancer.ListDelta && !named[id] {
+			l.aim(id, host{Health: "Gone"})
+		}
+		ready = ready || e.target != nil
+	}
+	l.listed.Store(ready)
+	l.balancer.Members(now, kind, entries)
+}
+
+// aim points an endpoint's id at where it is reached now. A target that drains,
+// is gone or has restarted is closed, so that a send on its way does not start.
+func (l *loop) aim(id uint32, h host) {
+	e, state := l.fleet[id], states[h.Health]
+	e.last, e.gone = h, state == balancer.Gone
+	if l.marks[e.name].Out {
+		state = balancer.Draining // as good as that
+	}
+	if t := e.target; t != nil && (state != balancer.Ready || t.address != h.Dial || t.born != h.BornMS) {
+		l.up.retire(t)
+		e.target = nil
+	}
+	if e.target == nil && state == balancer.Ready {
+		e.target = &target{address: h.Dial, born: h.BornMS}
+	}
+	l.forgetMember(id)
+}
+
+// knows says whether operators may speak of an endpoint of this name.
+func (l *loop) knows(name string) bool { return l.ids[name] != 0 || l.marks[name].Out }
+
+// mark makes what operators set hold: what they leave out has no target, so that
+// a send on its way does not start.
+func (l *loop) mark(now balancer.Micros, marks []mark) {
+	next := make(map[string]mark, len(marks))
+	for _, m := range marks {
+		next[m.Name] = m
+	}
+	for name, m := range l.marks {
+		if _, ok := next[name]; !ok && m.Out {
+			present := l.time.now()
+			next[name] = mark{Name: name, SinceMS: present.UnixMS, UpMS: present.UpMS}
+		}
+	}
+	old := l.marks
+	l.marks = next
+	for name, m := range next {
+		if was, ok := old[name]; ok && was == m {
+			continue
+		}
+		if id := l.ids[name]; id != 0 {
+			l.aim(id, l.fleet[id].last)
+		}
+		l.log.Info("by hand", "host", name, "out", m.Out)
+		since := now // at the latest
+		if age, known := l.time.age(m.since()); known {
+			since = now - max(0, age.Microseconds())
+		}
+		l.balancer.Cordon(now, hashed(name), m.Out, since)
+	}
+}
+
+func (l *loop) forgetMember(id uint32) {
+	if e := l.fleet[id]; e.gone && e.out == 0 {
+		delete(l.ids, e.name)
+		delete(l.fleet, id)
+	}
+}
+
+// acquire counts something out to an endpoint and returns where that is reached,
+// nil if nothing may go there. The balancer may know an endpoint for a moment
+// longer than the loop does.
+func (l *loop) acquire(id uint32) *target {
+	e := l.fleet[id]
+	if e == nil {
+		return nil
+	}
+	e.out++
+	return e.target
+}
+
+// release is the end of what acquire began.
+func (l *loop) release(id uint32) {
+	if e := l.fleet[id]; e != nil {
+		e.out--
+		l.forgetMember(id)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -98,16 +96,6 @@
 	closed    closeCounts
 }
 
-// member is what the loop holds of an endpoint until it is gone and nothing is
-// out there any more. Endpoints come and go all day under ever new names.
-type member struct {
-	name   string
-	last   host    // discovery's latest word of it
-	target *target // nil unless ready and not left out
-	out    int     // attempts and probes without outcome
-	gone   bool
-}
-
 // request is the ledger's entry for a request that the balancer may still
 // speak of: no final answer is out, or attempts are.
 type request struct {
@@ -334,127 +322,6 @@
 	}
 }
 
-// members passes on a list and brings the targets in line with it.
-func (l *loop) members(now balancer.Micros, kind balancer.ListKind, list registry) {
-	older := list.Seq < l.from.newest
-	l.from = position{&list.Seq, list.Seq, l.clock.time(now).Add(l.disc.older)}
-	if list.lost > 0 {
-		l.log.Warn("entries of discovery's list can't be used", "lost", list.lost, "of", len(list.Hosts), "first", list.fault)
-	}
-	entries := make([]balancer.Endpoint, 0, len(list.Hosts))
-	named := map[uint32]bool{}
-	for _, h := range list.Hosts {
-		id := l.ids[h.Name]
-		if id == 0 {
-			if states[h.Health] == balancer.Gone {
-				continue
-			}
-			l.lastEP++
-			id = l.lastEP
-			l.ids[h.Name], l.fleet[id] = id, &member{name: h.Name}
-		}
-		if e := l.fleet[id]; older && e.last.Health == "Terminating" && e.last.BornMS == h.BornMS {
-			h.Health = e.last.Health // what was told is not undone by what may be older
-		}
-		named[id] = true
-		e := balancer.Endpoint{ID: id, Name: hashed(h.Name), Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
-			Cell: h.Block, State: states[h.Health], Share: h.Share}
-		if h.BornMS > 0 {
-			e.StartTime = h.BornMS * 1000
-		}
-		entries = append(entries, e)
-		l.aim(id, h)
-	}
-	ready := false
-	for id, e := range l.fleet {
-		if kind != balancer.ListDelta && !named[id] {
-			l.aim(id, host{Health: "Gone"})
-		}
-		ready = ready || e.target != nil
-	}
-	l.listed.Store(ready)
-	l.balancer.Members(now, kind, entries)
-}
-
-// aim points an endpoint's id at where it is reached now. A target that drains,
-// is gone or has restarted is closed, so that a send on its way does not start.
-func (l *loop) aim(id uint32, h host) {
-	e, state := l.fleet[id], states[h.Health]
-	e.last, e.gone = h, state == balancer.Gone
-	if l.marks[e.name].Out {
-		state = balancer.Draining // as good as that
-	}
-	if t := e.target; t != nil && (state != balancer.Ready || t.address != h.Dial || t.born != h.BornMS) {
-		l.up.retire(t)
-		e.target = nil
-	}
-	if e.target == nil && state == balancer.Ready {
-		e.target = &target{address: h.Dial, born: h.BornMS}
-	}
-	l.forgetMember(id)
-}
-
-// knows says whether operators may speak of an endpoint of this name.
-func (l *loop) knows(name string) bool { return l.ids[name] != 0 || l.marks[name].Out }
-
-// mark makes what operators set hold: what they leave out has no target, so that
-// a send on its way does not start.
-func (l *loop) mark(now balancer.Micros, marks []mark) {
-	next := make(map[string]mark, len(marks))
-	for _, m := range marks {
-		next[m.Name] = m
-	}
-	for name, m := range l.marks {
-		if _, ok := next[name]; !ok && m.Out {
-			present := l.time.now()
-			next[name] = mark{Name: name, SinceMS: present.UnixMS, UpMS: present.UpMS}
-		}
-	}
-	old := l.marks
-	l.marks = next
-	for name, m := range next {
-		if was, ok := old[name]; ok && was == m {
-			continue
-		}
-		if id := l.ids[name]; id != 0 {
-			l.aim(id, l.fleet[id].last)
-		}
-		l.log.Info("by hand", "host", name, "out", m.Out)
-		since := now // at the latest
-		if age, known := l.time.age(m.since()); known {
-			since = now - max(0, age.Microseconds())
-		}
-		l.balancer.Cordon(now, hashed(name), m.Out, since)
-	}
-}
-
-func (l *loop) forgetMember(id uint32) {
-	if e := l.fleet[id]; e.gone && e.out == 0 {
-		delete(l.ids, e.name)
-		delete(l.fleet, id)
-	}
-}
-
-// acquire counts something out to an endpoint and returns where that is reached,
-// nil if nothing may go there. The balancer may know an endpoint for a moment
-// longer than the loop does.
-func (l *loop) acquire(id uint32) *target {
-	e := l.fleet[id]
-	if e == nil {
-		return nil
-	}
-	e.out++
-	return e.target
-}
-
-// release is the end of what acquire began.
-func (l *loop) release(id uint32) {
-	if e := l.fleet[id]; e != nil {
-		e.out--
-		l.forgetMember(id)
-	}
-}
-
 // Send starts an attempt.
 func (l *loop) Send(id uint64, endpoint uint32, latest balancer.Micros) {
 	r, t := l.requests[id], l.acquire(endpoint)
@@ -528,96 +395,6 @@
 	}()
 }
 
-// Watch begins to watch discovery's list, from the last version on, or ends it.
-func (l *loop) Watch(on bool) {
-	l.stopWatch()
-	if !on {
-		return
-	}
-	ctx, stop := context.WithCancel(l.ctx)
-	l.stopWatch = stop
-	from, disc, subscribe := l.from, l.disc, l.cfg.Settings.Subscribe
-	tell := func(event func(now balancer.Micros)) {
-		l.post(func(now balancer.Micros) {
-			if ctx.Err() == nil { // else the watch was ended meanwhile
-				event(now)
-			}
-		})
-	}
-	heard := func(list registry) {
-		tell(func(now balancer.Micros) { l.hear(now, list) })
-	}
-	malformed := func(err error) {
-		tell(func(now balancer.Micros) { l.miss(now, err) })
-	}
-	go func() {
-		for ctx.Err() == nil {
-			err := disc.watch(ctx, from, heard, malformed)
-			next := make(chan position, 1)
-			tell(func(now balancer.Micros) {
-				l.miss(now, err)
-				l.balancer.Members(now, balancer.ListFailed, nil)
-				next <- l.from
-			})
-			if subscribe {
-				return // when to ask again is the balancer's decision
-			}
-			pause(ctx, jittered(disc.rest)) // the balancer never asks: the watch begins again by itself
-			select {
-			case from = <-next:
-			case <-ctx.Done():
-			}
-		}
-	}()
-}
-
-// callCounts counts calls of discovery by how they ended, and entries of lists that
-// could not be used.
-type callCounts struct{ answered, silent, failed, malformed, lost uint64 }
-
-// since tells what was counted since then, and how.
-func (c callCounts) since(old callCounts) string {
-	return fmt.Sprintf("[answered:%d silent:%d failed:%d malformed:%d lost:%d]", c.answered-old.answered,
-		c.silent-old.silent, c.failed-old.failed, c.malformed-old.malformed, c.lost-old.lost)
-}
-
-// hear takes an answer of discovery.
-func (l *loop) hear(now balancer.Micros, list registry) {
-	if l.unheard {
-		l.log.Info("discovery is heard again", "list_age_ms", (now-l.heard)/1000, "seq", list.Seq)
-	}
-	l.unheard, l.heard = false, now
-	l.calls.answered++
-	l.log.Debug("list heard", "seq", list.Seq, "whole", list.Whole, "hosts", len(list.Hosts))
-	l.calls.lost += uint64(list.lost)
-	kind := balancer.ListDelta
-	if list.Whole {
-		kind = balancer.ListFull
-	}
-	l.members(now, kind, list)
-}
-
-// miss takes the failure of a call of discovery.
-func (l *loop) miss(now balancer.Micros, err error) {
-	var bad *malformedError
-	switch {
-	case errors.As(err, &bad):
-		l.calls.malformed++
-	case errors.Is(err, context.DeadlineExceeded):
-		l.calls.silent++
-	default:
-		l.calls.failed++
-	}
-	if errors.Is(err, errOlder) {
-		l.from.after = nil // its changes since another numbering's version mean nothing
-	}
-	if !l.unheard || now-l.warned >= missEvery.Microseconds() {
-		l.warned = now
-		l.log.Warn("discovery", "error", err, "list_age_ms", (now-l.heard)/1000)
-	}
-	l.unheard = true
-}
-
 // trace records what becomes of one request, where the log has lines of level debug.
 func (l *loop) trace(r *request, event string, attributes ...any) {
 	if l.log.Enabled(l.ctx, slog.LevelDebug) {
--- /dev/null
+++ b/internal/sidecar/parse.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"peatpost/balancer"
+)
+
+// badRequest is what a client did wrong.
+type badRequest struct {
+	code   int
+	reason string
+}
+
+func (e *badRequest) Error() string { return e.reason }
+
+func bad(format string, args ...any) error {
+	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// reject turns a request away, with its connection: what else a client sends
+// that gets this much wrong is not worth reading.
+func reject(w http.ResponseWriter, in *http.Request, err error) {
+	code := http.StatusBadRequest
+	var b *badRequest
+	if errors.As(err, &b) {
+		code = b.code
+	}
+	reason := err.Error() + "\n"
+	turnAway(w, in, answer{code: code, body: []byte(reason),
+		header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}, "X-Content-Type-Options": {"nosniff"}}})
+}
+
+// single headers have one value. A second one could be the one that somebody
+// else on the way goes by.
+var single = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Session-Key",
+	"X-Time-Left-Ms", "X-Repeat", "X-Weight-Hint", "Idempotency-Key"}
+
+// hashed makes a number of a name, the same at every sidecar.
+func hashed(name string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(name))
+	return hash.Sum64()
+}
+
+// parse reads the headers of a request.
+func (s *server) parse(in *http.Request, arrived balancer.Micros) (balancer.Request, error) {
+	inForce := s.loop.current.Load()
+	req := balancer.Request{Under: &inForce.Settings}
+	h := in.Header
+	for _, name := range single {
+		if len(h[name]) > 1 {
+			return req, bad("%s is there %d times", name, len(h[name]))
+		}
+	}
+	if id := h.Get("X-Correlation-Id"); id == "" || len(id) > maxIDLength {
+		return req, bad("X-Correlation-Id: %d characters, must be 1 to %d", len(id), maxIDLength)
+	}
+	name := h.Get("X-Service-Class")
+	class, ok := inForce.classes[name]
+	if !ok {
+		return req, bad("X-Service-Class: %q is not a known class", name)
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(in.URL.Path, "/"), "/"); first != name {
+		return req, bad("the path is not of X-Service-Class %q", name)
+	}
+	req.Class = class
+	method, keyed := http.MethodPost, h.Get("Idempotency-Key") != ""
+	switch inForce.Settings.Classes[class].Repeat {
+	case balancer.Safe:
+		method = http.MethodGet
+	case balancer.Keyed:
+		if !keyed {
+			return req, bad("Idempotency-Key is missing")
+		}
+	}
+	if in.Method != method {
+		return req, &badRequest{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
+	}
+	if method == http.MethodGet && in.ContentLength != 0 {
+		return req, bad("a GET has no body")
+	}
+	left, err := strconv.ParseUint(h.Get("X-Time-Left-Ms"), 10, 63)
+	if err != nil {
+		return req, bad("X-Time-Left-Ms: %q is not a whole number of milliseconds", h.Get("X-Time-Left-Ms"))
+	}
+	left = min(left, uint64(maxTimeLeft.Milliseconds()))
+	req.Deadline = arrived + int64(left)*1000 - answerMargin.Microseconds()
+	if len(inForce.tenants) > 0 {
+		if req.Tenant, ok = inForce.tenants[h.Get("X-Account")]; !ok {
+			return req, bad("X-Account: %q is not a known tenant", h.Get("X-Account"))
+		}
+	}
+	if key := h.Get("X-Session-Key"); key != "" {
+		req.Key = hashed(key)
+	}
+	if hint := h.Get("X-Weight-Hint"); hint != "" {
+		micros, err := strconv.ParseUint(hint, 10, 63)
+		if err != nil {
+			return req, bad("X-Weight-Hint: %q is not a whole number of microseconds", hint)
+		}
+		req.Hint, req.HasHint = int64(micros), true
+	}
+	switch h.Get("X-Repeat") {
+	case "1":
+		req.Retry = true
+	case "", "0":
+	default:
+		return req, bad("X-Repeat: %q is neither 0 nor 1", h.Get("X-Repeat"))
+	}
+	return req, nil
+}
--- /dev/null
+++ b/internal/sidecar/watch.go
@@ -0,0 +1,99 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"peatpost/balancer"
+)
+
+// Watch begins to watch discovery's list, from the last version on, or ends it.
+func (l *loop) Watch(on bool) {
+	l.stopWatch()
+	if !on {
+		return
+	}
+	ctx, stop := context.WithCancel(l.ctx)
+	l.stopWatch = stop
+	from, disc, subscribe := l.from, l.disc, l.cfg.Settings.Subscribe
+	tell := func(event func(now balancer.Micros)) {
+		l.post(func(now balancer.Micros) {
+			if ctx.Err() == nil { // else the watch was ended meanwhile
+				event(now)
+			}
+		})
+	}
+	heard := func(list registry) {
+		tell(func(now balancer.Micros) { l.hear(now, list) })
+	}
+	malformed := func(err error) {
+		tell(func(now balancer.Micros) { l.miss(now, err) })
+	}
+	go func() {
+		for ctx.Err() == nil {
+			err := disc.watch(ctx, from, heard, malformed)
+			next := make(chan position, 1)
+			tell(func(now balancer.Micros) {
+				l.miss(now, err)
+				l.balancer.Members(now, balancer.ListFailed, nil)
+				next <- l.from
+			})
+			if subscribe {
+				return // when to ask again is the balancer's decision
+			}
+			pause(ctx, jittered(disc.rest)) // the balancer never asks: the watch begins again by itself
+			select {
+			case from = <-next:
+			case <-ctx.Done():
+			}
+		}
+	}()
+}
+
+// callCounts counts calls of discovery by how they ended, and entries of lists that
+// could not be used.
+type callCounts struct{ answered, silent, failed, malformed, lost uint64 }
+
+// since tells what was counted since then, and how.
+func (c callCounts) since(old callCounts) string {
+	return fmt.Sprintf("[answered:%d silent:%d failed:%d malformed:%d lost:%d]", c.answered-old.answered,
+		c.silent-old.silent, c.failed-old.failed, c.malformed-old.malformed, c.lost-old.lost)
+}
+
+// hear takes an answer of discovery.
+func (l *loop) hear(now balancer.Micros, list registry) {
+	if l.unheard {
+		l.log.Info("discovery is heard again", "list_age_ms", (now-l.heard)/1000, "seq", list.Seq)
+	}
+	l.unheard, l.heard = false, now
+	l.calls.answered++
+	l.log.Debug("list heard", "seq", list.Seq, "whole", list.Whole, "hosts", len(list.Hosts))
+	l.calls.lost += uint64(list.lost)
+	kind := balancer.ListDelta
+	if list.Whole {
+		kind = balancer.ListFull
+	}
+	l.members(now, kind, list)
+}
+
+// miss takes the failure of a call of discovery.
+func (l *loop) miss(now balancer.Micros, err error) {
+	var bad *malformedError
+	switch {
+	case errors.As(err, &bad):
+		l.calls.malformed++
+	case errors.Is(err, context.DeadlineExceeded):
+		l.calls.silent++
+	default:
+		l.calls.failed++
+	}
+	if errors.Is(err, errOlder) {
+		l.from.after = nil // its changes since another numbering's version mean nothing
+	}
+	if !l.unheard || now-l.warned >= missEvery.Microseconds() {
+		l.warned = now
+		l.log.Warn("discovery", "error", err, "list_age_ms", (now-l.heard)/1000)
+	}
+	l.unheard = true
+}
