Take endpoints' starts by discovery's clock where its answers are dated

Cause: starts are told by the clock of the endpoints' machines. A process that begins with its wall clock ahead by more than the ramp time takes cold endpoints for warm, and nothing in the list shows that. Change: where discovery's answers bear a Date over 2 s off, starts are taken by it. Also a test of SIGTERM at every moment of a start.

--- a/cmd/pinedale/termination_test.go
+++ b/cmd/pinedale/termination_test.go
@@ -150,3 +150,27 @@
 		t.Errorf("%d requests cut off by the end of the process", n)
 	}
 }
+
+// Whenever during its start a process is told to end, it ends, and takes nothing along.
+func TestTerminatedDuringTheStart(t *testing.T) {
+	endpoint := newHangingEndpoint(t)
+	for moment := time.Duration(0); moment < 60*time.Millisecond; moment += 3 * time.Millisecond {
+		t.Run(moment.String(), func(t *testing.T) {
+			t.Parallel()
+			p := launch(t, command(t, terminationConfig(freeAddress(t), endpoint.address, 4)))
+			time.Sleep(moment)
+			p.signal(syscall.SIGTERM)
+			ended := make(chan error, 1)
+			go func() { ended <- p.Wait() }()
+			select {
+			case err := <-ended:
+				// Before the program has said that it handles the signal, the system ends it.
+				if status := p.ProcessState.Sys().(syscall.WaitStatus); err != nil && status.Signal() != syscall.SIGTERM {
+					t.Error(err)
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatal("it does not end")
+			}
+		})
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -58,8 +58,9 @@
 	Whole bool   `json:"whole"`
 	Hosts []host `json:"hosts"`
 
-	lost  int   // entries that could not be used
-	fault error // of the first of them
+	lost  int       // entries that could not be used
+	fault error     // of the first of them
+	date  time.Time // by the clock of discovery, to the second; zero where it did not say
 }
 
 type host struct {
@@ -210,6 +211,9 @@
 	if err := json.Unmarshal(body, &list); err != nil {
 		return list, &malformedError{fmt.Errorf("discovery's answer: %w", err)}
 	}
+	if date, err := http.ParseTime(response.Header.Get("Date")); err == nil {
+		list.date = date
+	}
 	if after == nil && !list.Whole {
 		return list, &malformedError{errors.New("discovery's answer: changes, where the whole list was asked for")}
 	}
--- a/internal/sidecar/durability_test.go
+++ b/internal/sidecar/durability_test.go
@@ -318,3 +318,31 @@
 		t.Errorf("the look ended with %v", err)
 	}
 }
+
+// A process that starts with its clock off by an hour tells by discovery's date which endpoints have just started.
+func TestStartsByAnotherClockThanDiscoverys(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	for _, step := range []time.Duration{-time.Hour, 0, time.Hour} {
+		times := &steppedTime{}
+		times.by(step)
+		young, old := ready("s-1", e.address), ready("s-2", e.address)
+		young.BornMS, old.BornMS = time.Now().UnixMilli(), time.Now().Add(-2*time.Hour).UnixMilli()
+		w := &world{t: t, dir: newDirectory(t, young, old)}
+		cfg := configure(t, w.dir.address, nil) // it knows no list but discovery's
+		cfg.Host.Time = times.source()
+		w.launch(cfg)
+		w.untilReady()
+		var ages []time.Duration
+		w.do(func() {
+			for _, name := range []string{"s-1", "s-2"} {
+				ages = append(ages, time.Duration(w.loop.clock.now()-w.loop.fleet[w.loop.ids[name]].start)*time.Microsecond)
+			}
+		})
+		if ages[0] > patience || ages[0] < -2*minSkew {
+			t.Errorf("step %v: one that has just started is %v old", step, ages[0])
+		}
+		if off := ages[1] - 2*time.Hour; off > patience || off < -2*minSkew {
+			t.Errorf("step %v: one that started two hours ago is %v old", step, ages[1])
+		}
+	}
+}
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"peatpost/balancer"
 )
 
@@ -8,12 +10,39 @@
 // out there any more. Endpoints come and go all day under ever new names.
 type member struct {
 	name   string
-	last   host    // discovery's latest word of it
-	target *target // nil unless ready and not left out
-	out    int     // attempts and probes without outcome
+	last   host            // discovery's latest word of it
+	start  balancer.Micros // of its process, by the loop's clock; 0 for long ago
+	target *target         // nil unless ready and not left out
+	out    int             // attempts and probes without outcome
 	gone   bool
 }
 
+// minSkew is how far the clocks of discovery and of this process must be apart to be told so: discovery's date is cut to
+// the second, and its answer takes a while.
+const minSkew = 2 * time.Second
+
+// skew is how far the clock by which a list tells starts is ahead of the loop's, as far as the list lets it be known.
+func (r *registry) skew(now balancer.Micros) balancer.Micros {
+	if r.date.IsZero() {
+		return 0
+	}
+	if skew := r.date.UnixMicro() - now; skew > minSkew.Microseconds() || skew < -minSkew.Microseconds() {
+		return skew
+	}
+	return 0
+}
+
+// startOf returns when an endpoint's process started, by the loop's clock. It stays as it was first made out for each.
+func (m *member) startOf(h host, skew balancer.Micros) balancer.Micros {
+	switch {
+	case h.BornMS <= 0:
+		m.start = 0
+	case m.start == 0 || m.last.BornMS != h.BornMS:
+		m.start = max(1, h.BornMS*1000-skew)
+	}
+	return m.start
+}
+
 // members passes on a list and brings the targets in line with it.
 func (l *loop) members(now balancer.Micros, kind balancer.ListKind, list registry) {
 	older := list.Seq < l.from.newest
@@ -21,6 +50,7 @@
 	if list.lost > 0 {
 		l.log.Warn("entries of discovery's list can't be used", "lost", list.lost, "of", len(list.Hosts), "first", list.fault)
 	}
+	skew := list.skew(now)
 	entries := make([]balancer.Endpoint, 0, len(list.Hosts))
 	named := map[uint32]bool{}
 	for _, h := range list.Hosts {
@@ -39,9 +69,7 @@
 		named[id] = true
 		e := balancer.Endpoint{ID: id, Name: hashed(h.Name), Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
 			Cell: h.Block, State: states[h.Health], Share: h.Share}
-		if h.BornMS > 0 {
-			e.StartTime = h.BornMS * 1000
-		}
+		e.StartTime = l.fleet[id].startOf(h, skew)
 		entries = append(entries, e)
 		l.aim(id, h)
 	}
