--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -201,7 +201,6 @@
 	if behind || late || s.clients.crowded() || s.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	writeAnswer(w, a)
 	if a.rest == nil {
 		s.record(r)
@@ -248,6 +247,8 @@
 	if a.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
+	// net/http counts from the head of the request, which may be long ago.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(a.code)
 	w.Write(a.body) // a client that is gone by now needs no answer
 }
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -73,10 +73,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &conn{Conn: raw, target: t}
+	return newConn(raw, t), nil
+}
+
+func newConn(raw net.Conn, t *target) *conn {
+	c := &conn{Conn: raw, target: t}
 	c.limit.R = c
 	c.reader = bufio.NewReaderSize(&c.limit, maxAnswerHeadBytes)
-	return c, nil
+	return c
 }
 
 // currentDialer returns the dialer with the time-out in force.
--- a/internal/sidecar/syscalls_test.go
+++ b/internal/sidecar/syscalls_test.go
@@ -258,3 +258,32 @@
 		}
 	}
 }
+
+// failingRead is a connection to an endpoint that takes a request and then breaks.
+type failingRead struct {
+	net.Conn
+	err error
+}
+
+func (c *failingRead) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *failingRead) Read([]byte) (int, error)         { return 0, c.err }
+func (c *failingRead) SetDeadline(time.Time) error      { return nil }
+func (c *failingRead) SetReadDeadline(time.Time) error  { return nil }
+func (c *failingRead) SetWriteDeadline(time.Time) error { return nil }
+func (c *failingRead) Close() error                     { return nil }
+
+// A connection to an endpoint that breaks after the request's last byte is a reset, by whatever name: with time left,
+// ETIMEDOUT is no time-out of the request.
+func TestBrokenEndpointConnectionsAreResets(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNRESET, syscall.EPIPE} {
+		u, at := newTestUpstream(t, 1), &target{address: "127.0.0.1:1"}
+		err := &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", errno)}
+		u.open = 1
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		_, got := u.exchange(ctx, newConn(&failingRead{err: err}, at), get("/"), &gate{})
+		if status := failure(ctx, got); status != balancer.Reset || !errors.Is(got, errno) || u.counts().open != 0 {
+			t.Errorf("%v: %v (%v), %d connections open; want a reset", errno, status, got, u.counts().open)
+		}
+		cancel()
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -103,30 +103,36 @@
 	}
 	r := result{status: balancer.Error, err: err, took: time.Since(start)}
 	r.times = attemptTimes{connected: start, received: start.Add(r.took)}
+	if err != nil {
+		r.status = failure(ctx, err)
+		return r
+	}
+	response := got.response
+	r.times.written = got.written
+	r.load, r.report = u.loadReport(response.Header.Get("X-Backend-Load"))
+	switch code := response.StatusCode; {
+	case code == http.StatusOK:
+		r.status, r.header, r.body = balancer.OK, response.Header, got.body
+		r.rest, r.length, r.held = got.rest, response.ContentLength, got.held
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		response.Header.Get("X-Unprocessed") == "1":
+		r.status = balancer.Full
+	}
+	return r
+}
+
+// failure is the outcome of an exchange that ended with an error.
+func failure(ctx context.Context, err error) balancer.Status {
 	var never *unsentError
 	switch {
 	case errors.As(err, &never):
-		r.status = unsent(ctx, never.error)
-	case err == errOver || err != nil && over(ctx):
-		r.status = balancer.Timeout
-	case err != nil && ctx.Err() != nil:
-		r.status = balancer.Cancelled
-	case err != nil:
-		r.status = balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
-	default:
-		response := got.response
-		r.times.written = got.written
-		r.load, r.report = u.loadReport(response.Header.Get("X-Backend-Load"))
-		switch code := response.StatusCode; {
-		case code == http.StatusOK:
-			r.status, r.header, r.body = balancer.OK, response.Header, got.body
-			r.rest, r.length, r.held = got.rest, response.ContentLength, got.held
-		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
-			response.Header.Get("X-Unprocessed") == "1":
-			r.status = balancer.Full
-		}
+		return unsent(ctx, never.error)
+	case err == errOver || over(ctx):
+		return balancer.Timeout
+	case ctx.Err() != nil:
+		return balancer.Cancelled
 	}
-	return r
+	return balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
 }
 
 // over says that an attempt's time is up, by the clock: the balancer's own timer
