--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"math"
 	"testing"
@@ -134,27 +135,12 @@
 func (m *member) Watch(bool)            {}
 func (m *member) Log(string)            {}
 
-// pushedOver finds the first endpoint that got more than it may have in any window, while
+// pushedOver finds an endpoint that got more than it may have in any window, while
 // cold: N by the settings, and what is put down to chance.
 func (f *fleet) pushedOver() (worst float64, err error) {
-	c := f.s.Contract
-	for id, at := range f.got {
-		first := 0
-		for i, now := range at {
-			for at[first] <= now-c.OverloadFor {
-				first++
-			}
-			w := f.warmth(id, at[first])
-			if w == 1 {
-				continue
-			}
-			n := c.FallMultiple * w * float64(c.OverloadFor) / f.work
-			got := float64(i - first + 1)
-			worst = max(worst, got/(n+2*math.Sqrt(n)+2))
-			if got > n+2*math.Sqrt(n)+2 && err == nil {
-				err = fmt.Errorf("endpoint %d got %.0f requests by %.2f s, N is %.1f", id, got, float64(now)/1e6, n)
-			}
-		}
+	worst, where := f.worstWindow(func(n float64) float64 { return n + 2*math.Sqrt(n) + 2 })
+	if worst > 1 {
+		err = errors.New(where)
 	}
 	return worst, err
 }
--- a/balancer/slowstart_test.go
+++ b/balancer/slowstart_test.go
@@ -14,8 +14,8 @@
 	return n + 2*math.Sqrt(n) + 2
 }
 
-// overBudget returns the most that a cold endpoint got of its budget, over all windows, and where that was.
-func (f *fleet) overBudget() (worst float64, where string) {
+// worstWindow returns the most that a cold endpoint got of its budget, over all windows, and where that was.
+func (f *fleet) worstWindow(budget func(n float64) float64) (worst float64, where string) {
 	c := f.s.Contract
 	for id, at := range f.got {
 		first := 0
@@ -29,7 +29,7 @@
 			}
 			n := c.FallMultiple * warmth * float64(c.OverloadFor) / f.work
 			got := float64(i - first + 1)
-			if part := got / coldBudget(n); part > worst {
+			if part := got / budget(n); part > worst {
 				worst, where = part, fmt.Sprintf("endpoint %d got %.0f by %.2f s, N is %.1f", id, got, float64(now)/1e6, n)
 			}
 		}
@@ -94,7 +94,7 @@
 									f.restartBalancers(t, 100)
 								}
 								f.run(end)
-								worst, where := f.overBudget()
+								worst, where := f.worstWindow(coldBudget)
 								if worst > 1 {
 									t.Errorf("%.2f of the budget: %s", worst, where)
 								}
--- a/cmd/pinedale/termination_test.go
+++ b/cmd/pinedale/termination_test.go
@@ -23,21 +23,8 @@
 
 func newHangingEndpoint(t *testing.T) *hangingEndpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	e := &hangingEndpoint{address: listener.Addr().String(), ids: map[string]bool{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.take(conn)
-		}
-	}()
+	e := &hangingEndpoint{ids: map[string]bool{}}
+	e.address = serveEach(t, e.take)
 	return e
 }
 
--- a/cmd/pinedale/traffic_test.go
+++ b/cmd/pinedale/traffic_test.go
@@ -45,8 +45,8 @@
 	return l.arrivals[id]
 }
 
-// newBackend starts an endpoint that takes up to 40 ms and never answers one request of thirty.
-func newBackend(t *testing.T, l *ledger) (address string) {
+// serveEach serves each connection to an address of its own until the test ends.
+func serveEach(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,12 +59,18 @@
 			if err != nil {
 				return
 			}
-			go serveBackend(conn, l)
+			go serve(conn)
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// newBackend starts an endpoint that takes up to 40 ms and never answers one request of thirty.
+func newBackend(t *testing.T, l *ledger) (address string) {
+	t.Helper()
+	return serveEach(t, func(conn net.Conn) { serveBackend(conn, l) })
+}
+
 func serveBackend(conn net.Conn, l *ledger) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
