--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -177,15 +177,8 @@
 				},
 			} {
 				t.Run(fmt.Sprintf("%s, %d processes, work %.0f ms", name, balancers, work/1000), func(t *testing.T) {
-					s := testSettings()
-					s.Classes = []Class{{Name: "read", Repeat: Safe, Aim: Micros(6 * work), GiveUp: second, Worth: 1}}
-					s.Limits.SecondCopies = false
-					s.Contract.ColdFrom, s.Contract.RampTime, s.Contract.OverloadFor = 0.13, 22*second, 1_500_000
-					s.Contract.FallMultiple = 3
-					var list []Endpoint
-					for i := range 40 {
-						list = append(list, Endpoint{ID: uint32(i + 1), Name: uint64(i + 1), Share: 1})
-					}
+					s := slowStartSettings(work)
+					list := uniformList(40)
 					f := newFleet(t, s, balancers, work, list)
 					f.traffic(1.0*40*float64(second)/work, 14*second)
 					f.run(4 * second)
@@ -222,3 +215,22 @@
 		})
 	}
 }
+
+// slowStartSettings are those of a fleet with one class, whose requests take this work in the mean.
+func slowStartSettings(work float64) Settings {
+	s := testSettings()
+	s.Classes = []Class{{Name: "read", Repeat: Safe, Aim: Micros(6 * work), GiveUp: second, Worth: 1}}
+	s.Limits.SecondCopies = false
+	s.Contract.ColdFrom, s.Contract.RampTime, s.Contract.OverloadFor = 0.13, 22*second, 1_500_000
+	s.Contract.FallMultiple = 3
+	return s
+}
+
+// uniformList returns n warm endpoints of one zone and size.
+func uniformList(n int) []Endpoint {
+	list := make([]Endpoint, n)
+	for i := range list {
+		list[i] = Endpoint{ID: uint32(i + 1), Name: uint64(i + 1), Share: 1}
+	}
+	return list
+}
--- a/balancer/slowstart_test.go
+++ b/balancer/slowstart_test.go
@@ -77,15 +77,8 @@
 								endpoints, load, work/1000)
 							t.Run(name, func(t *testing.T) {
 								t.Parallel()
-								s := testSettings()
-								s.Classes = []Class{{Name: "read", Repeat: Safe, Aim: Micros(6 * work), GiveUp: second, Worth: 1}}
-								s.Limits.SecondCopies = false
-								s.Contract.ColdFrom, s.Contract.RampTime, s.Contract.OverloadFor = 0.13, 22*second, 1_500_000
-								s.Contract.FallMultiple = 3
-								var list []Endpoint
-								for i := range endpoints {
-									list = append(list, Endpoint{ID: uint32(i + 1), Name: uint64(i + 1), Share: 1})
-								}
+								s := slowStartSettings(work)
+								list := uniformList(endpoints)
 								f := newFleet(t, s, balancers, work, list)
 								f.traffic(load*float64(endpoints)*float64(second)/work, end)
 								f.run(warmUp)
--- a/cmd/pinedale/termination_test.go
+++ b/cmd/pinedale/termination_test.go
@@ -29,20 +29,11 @@
 }
 
 func (e *hangingEndpoint) take(conn net.Conn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
+	readRequests(conn, func(r *http.Request) {
 		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.ids[r.Header.Get("X-Correlation-Id")] = true
-		e.mu.Unlock()
-	}
+	})
 }
 
 func (e *hangingEndpoint) got(id string) bool {
--- a/cmd/pinedale/traffic_test.go
+++ b/cmd/pinedale/traffic_test.go
@@ -72,6 +72,20 @@
 }
 
 func serveBackend(conn net.Conn, l *ledger) {
+	readRequests(conn, func(r *http.Request) {
+		l.record(r)
+		id, hash := r.Header.Get("X-Correlation-Id"), fnv.New32a()
+		io.WriteString(hash, id)
+		if hash.Sum32()%30 == 0 {
+			return
+		}
+		time.Sleep(time.Duration(hash.Sum32()%40) * time.Millisecond)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+	})
+}
+
+// readRequests passes on each whole request of a connection until that ends, and closes it.
+func readRequests(conn net.Conn, take func(*http.Request)) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
@@ -82,15 +96,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		l.record(r)
-		hash := fnv.New32a()
-		io.WriteString(hash, r.Header.Get("X-Correlation-Id"))
-		if hash.Sum32()%30 == 0 {
-			continue
-		}
-		time.Sleep(time.Duration(hash.Sum32()%40) * time.Millisecond)
-		id := r.Header.Get("X-Correlation-Id")
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		take(r)
 	}
 }
 
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -23,7 +23,7 @@
 	open    int
 	asked   int       // of those, the ones that a request has come on
 	waiting list.List // of *clientConn, with no whole request; the longest without a byte first
-	closing list.List // of *clientConn, half-closed and drained until the client ends its side; oldest first
+	closing list.List // of *clientConn, half-closed until the client ends its side; oldest first
 	closes  closeCounts
 	failed  uint64    // accepts
 	logged  time.Time // the latest of them that the log has
