Review case 2: SIGTERM cuts off long answers before SIGKILL may come

Cause: awaitInFlight aborts the open requests half a second after the latest of their deadlines, which are those of the first bytes. An answer that is being relayed has no deadline.

Change: a case with its claim and script.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,8 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, and a sentence for the record.
 var cases = map[string]func(p *platform) (broken bool, verdict string, err error){
-	"memory": memoryLimit,
+	"memory":   memoryLimit,
+	"shutdown": shutdownStream,
 }
 
 func main() {
