--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,9 +25,13 @@
 var cases = map[string]func(p *platform) (broken bool, verdict string, err error){
 	"memory":   memoryLimit,
 	"shutdown": shutdownStream,
+	"upload":   uploadHang,
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "endpoint" {
+		os.Exit(endpointProcess(os.Args[2:]))
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		os.Exit(cannot)
