--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -73,6 +73,8 @@
 
 // loadedEndpoint is an endpoint with one core that also serves other sidecars. A request waits for those before it.
 type loadedEndpoint struct {
+	name     string
+	rec      *record
 	others   *atomic.Int64 // requests of other sidecars at each endpoint
 	inFlight atomic.Int64  // requests of this sidecar
 	served   *atomic.Int64
@@ -115,6 +117,7 @@
 		return
 	}
 	e.served.Add(1)
+	e.rec.line(e.name, "%s: ran %s, %d requests were before it", r.Header.Get("X-Correlation-Id"), r.URL.Path, before)
 	w.Header().Set("X-Backend-Load", e.report())
 	io.WriteString(w, "served")
 }
@@ -128,9 +131,9 @@
 		if err != nil {
 			return false, "", err
 		}
-		server := http.Server{Handler: &loadedEndpoint{others: &others, served: &served}}
-		go server.Serve(l)
-		hosts = append(hosts, readyHost(fmt.Sprintf("s-%d", i+1), l.Addr().String()))
+		e := &loadedEndpoint{name: fmt.Sprintf("s-%d", i+1), rec: p.rec, others: &others, served: &served}
+		go (&http.Server{Handler: e}).Serve(l)
+		hosts = append(hosts, readyHost(e.name, l.Addr().String()))
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -158,7 +161,7 @@
 			case <-tick.C:
 			}
 			clients.Go(func() {
-				a := fleetRequest(listen)
+				a := fleetRequest(p, listen)
 				switch {
 				case a.whole() && a.status == 200:
 					answered.Add(1)
@@ -207,7 +210,7 @@
 }
 
 // fleetRequest sends one request of a random class.
-func fleetRequest(listen string) answer {
+func fleetRequest(p *platform, listen string) answer {
 	class, x := fleetClasses[len(fleetClasses)-1], rand.Float64()
 	for _, c := range fleetClasses {
 		if x -= c.portion; x < 0 {
@@ -225,7 +228,9 @@
 	default:
 		r.body = postBody
 	}
-	return do(listen, &r, r.timeLeft+time.Second)
+	a := do(listen, &r, r.timeLeft+time.Second)
+	p.rec.line("client", "%s: sent %s, body %d bytes: %s", r.id, r.path, r.body, a.text())
+	return a
 }
 
 // residentKB returns how much memory of its own a process has, in KiB. Pages of its program file are left out.
