Log what is held for requests: table entries, ledger, waiting, memory, goroutines

The statistics lines now have requests_held, requests_open, body_memory_kb, heap_kb and goroutines, and held and waiting of the balancer.

--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -27,12 +27,13 @@
 	ReportedLoad float64 // sum over all load reports of the number of requests at the endpoint
 	QueuedProbes uint64  // number of probes whose latency shows that they queued behind requests
 
-	// Current numbers of requests, attempts and endpoints. Open requests have no final answer yet. InFlight and
-	// Uploading count the attempts that have no outcome yet: InFlight if the request body has been sent,
-	// Uploading if it is still being sent. Listed counts all known endpoints. Cordoned endpoints were removed
-	// from service by operators, endpoints that are warming up are in slow start, ejected endpoints failed too
-	// often, and pooled endpoints have a recent load report.
-	Open, InFlight, Uploading, Listed, Cordoned, WarmingUp, Ejected, Pooled int
+	// Current numbers of requests, attempts and endpoints. Open requests have no final answer yet. Held requests are
+	// in the ledger: they are open or have an attempt without an outcome. Waiting requests wait for the results of
+	// probes. InFlight and Uploading count the attempts that have no outcome yet: InFlight if the request body has
+	// been sent, Uploading if it is still being sent. Listed counts all known endpoints. Cordoned endpoints were
+	// removed from service by operators, endpoints that are warming up are in slow start, ejected endpoints failed
+	// too often, and pooled endpoints have a recent load report.
+	Open, Held, Waiting, InFlight, Uploading, Listed, Cordoned, WarmingUp, Ejected, Pooled int
 
 	TypicalLoad      float64 // typical number of requests of other balancers at an endpoint
 	ServiceTimeRatio float64 // mean of measured / predicted service time at warm endpoints
@@ -62,7 +63,7 @@
 // Stats returns the counts so far and the estimates of the state at now.
 func (b *Balancer) Stats(now Micros) Stats {
 	s := b.stats
-	s.Open = b.ledger.openRequests()
+	s.Open, s.Held, s.Waiting = b.ledger.openRequests(), len(b.ledger.requests), len(b.waiting.requests)
 	b.membership.fillStats(now, &s)
 	b.estimates.fillStats(now, &s)
 	s.RejectedShare = b.demand.recentRejectedShare()
@@ -118,8 +119,8 @@
 		formatStatuses(&s.Probes, &old.Probes), meanMillis(s.ProbeLatency-old.ProbeLatency, probed),
 		(s.ReportedLoad-old.ReportedLoad)/float64(max(1, probed)), s.QueuedProbes-old.QueuedProbes)
 	state := fmt.Sprintf("open=%d in_flight=%d uploading=%d listed=%d cordoned=%d warming_up=%d ejected=%d pooled=%d "+
-		"typical_load=%.2f service_time_ratio=%.2f slowdown=%.2f rejected_share=%.2f reports_late=%v",
+		"typical_load=%.2f service_time_ratio=%.2f slowdown=%.2f rejected_share=%.2f reports_late=%v held=%d waiting=%d",
 		s.Open, s.InFlight, s.Uploading, s.Listed, s.Cordoned, s.WarmingUp, s.Ejected, s.Pooled,
-		s.TypicalLoad, s.ServiceTimeRatio, s.Slowdown, s.RejectedShare, s.ReportsLate)
+		s.TypicalLoad, s.ServiceTimeRatio, s.Slowdown, s.RejectedShare, s.ReportsLate, s.Held, s.Waiting)
 	return counts + latencies + probes + state
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,8 @@
 	onLimitsChanged func()
 	// closeCounts returns how many clients' connections were closed for each cause; may be nil.
 	closeCounts func() downstream.CloseCounts
+	// countOpenRequests returns how many requests' handlers have not returned; may be nil.
+	countOpenRequests func() int
 	// warmStart has the estimates of an earlier process, for the balancer to start with; may be nil.
 	warmStart *balancer.Estimates
 	// saveEstimates stores the balancer's estimates. It is called once every pruneInterval; may be nil.
@@ -152,7 +155,18 @@
 		c.closes = l.closeCounts()
 	}
 	l.stats.logSinceLast(&c, gauges{listAgeMS: l.watcher.listAgeMS(now), listVersion: l.watcher.position.CurrentVersion,
-		maxEventWait: l.events.takeMaxWait(), inForce: l.current.Load(), rejectedReloads: l.rejectedReloads})
+		maxEventWait: l.events.takeMaxWait(), inForce: l.current.Load(), rejectedReloads: l.rejectedReloads,
+		held: l.heldResources()})
+}
+
+// heldResources returns what is currently held for requests in progress.
+func (l *loop) heldResources() heldResources {
+	held := heldResources{tableEntries: len(l.requests.byID), bodyMemory: l.upstream.BodyMemory.Used.Load(),
+		heap: heapBytes(), goroutines: runtime.NumGoroutine()}
+	if l.countOpenRequests != nil {
+		held.openRequests = l.countOpenRequests()
+	}
+	return held
 }
 
 // admit passes a new request to the balancer.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -85,7 +85,7 @@
 		drainPeriod: defaultDrainPeriod,
 		clients: &downstream.Listener{Log: l.log, MaxConnections: maxConnections(l.cfg),
 			MaxUsed: l.cfg.Limits.Sockets / usedConnectionsDivisor}}
-	l.onLimitsChanged, l.closeCounts = s.reapplyLimits, s.clients.CloseCounts
+	l.onLimitsChanged, l.closeCounts, l.countOpenRequests = s.reapplyLimits, s.clients.CloseCounts, s.inFlight.count
 	s.http = http.Server{
 		// The handler is not a ServeMux, which would redirect paths that endpoints must receive unchanged.
 		Handler:           http.HandlerFunc(s.serveRequest),
--- a/internal/sidecar/statistics.go
+++ b/internal/sidecar/statistics.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"runtime/metrics"
 	"time"
 
 	"oakproxy/balancer"
@@ -27,6 +28,27 @@
 	maxEventWait    time.Duration // longest time that an event has waited in the queue since the previous call of logStats
 	inForce         *config.Snapshot
 	rejectedReloads int
+	held            heldResources
+}
+
+// heldResources are the numbers of things that exist only while requests are in progress. A number that grows while the
+// others do not shows which part of the sidecar keeps what it should have released.
+type heldResources struct {
+	tableEntries int   // entries of the loop's request table
+	openRequests int   // requests whose handlers have not returned
+	bodyMemory   int64 // bytes reserved for buffered bodies
+	heap         int64 // bytes of heap objects, including garbage that has not been collected yet
+	goroutines   int
+}
+
+// heapMetric is the name of the runtime's metric of the bytes of heap objects.
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
+// heapBytes returns the bytes of heap objects.
+func heapBytes() int64 {
+	sample := []metrics.Sample{{Name: heapMetric}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
 }
 
 // statsLogger logs the changes of the counters since the previous call of logSinceLast, with the gauges. The loop's
@@ -53,7 +75,9 @@
 			"event_wait_ms", float64(g.maxEventWait.Microseconds())/1000,
 			"stages_us", c.stages.MeansSince(last.stages), "client_closes", c.closes.Since(last.closes),
 			"generation", g.inForce.Generation, "hash", g.inForce.FileHash,
-			"reloads", g.inForce.Generation-config.FirstGeneration, "reloads_rejected", g.rejectedReloads)
+			"reloads", g.inForce.Generation-config.FirstGeneration, "reloads_rejected", g.rejectedReloads,
+			"requests_held", g.held.tableEntries, "requests_open", g.held.openRequests,
+			"body_memory_kb", g.held.bodyMemory>>10, "heap_kb", g.held.heap>>10, "goroutines", g.held.goroutines)
 	}
 	l.last = *c
 }
