Remove a request from the loop's table with the event that ends it

Cause: an entry of the loop's request table was removed by a call that three event handlers had to make. A request that waited for probes is decided by the end of a probe or by a timer. If it was rejected then, it had no attempt, no outcome followed, and its entry kept its body and head for the life of the process.

Of the nine ways to end a request in TestEndedRequestsLeaveAllTables, four left an entry behind before the fix: rejected after the wait, after the probes, after a reload that removed the class, and at the deadline during the wait.

Why it works: only the table's methods finish a request or count its attempts, and they remove the entry with the last of these changes, whatever event causes it.

--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -26,8 +26,7 @@
 	if len(r.attempts) == 0 {
 		r.times.FirstAttemptStarted = time.Now()
 	}
-	r.attempts = append(r.attempts, attempt{cancel, gate})
-	r.inFlight++
+	l.requests.beginAttempt(r, attempt{cancel, gate})
 	go func() {
 		result := upstream.Result{Status: balancer.NotSent}
 		if target != nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -183,7 +183,6 @@
 		}
 	}
 	l.balancer.HandleRequest(now, in)
-	l.requests.forgetIfDone(r)
 }
 
 // handleBodyWritten handles the end of a streamed request body. The time that the client grants for the response
@@ -204,15 +203,14 @@
 		return
 	}
 	l.trace(r, "client disconnected", "attempts", len(r.attempts))
-	r.finish()
+	l.requests.finish(r)
 	l.balancer.HandleClientGone(now, r.id)
-	l.requests.forgetIfDone(r)
 }
 
 // handleOutcome handles the end of an attempt. It is called exactly once for each attempt, even after the request has
 // ended, because the balancer still learns from the outcome.
 func (l *loop) handleOutcome(now balancer.Micros, r *request, outcome balancer.Outcome, result upstream.Result) {
-	r.inFlight--
+	l.requests.endAttempt(r)
 	l.trace(r, "attempt finished", "number", outcome.Attempt, "status", outcome.Status, "error", result.Err,
 		"after_us", outcome.Latency, "over", r.finished)
 	if result.Status == balancer.OK {
@@ -222,14 +220,13 @@
 	}
 	outcome.Answered, outcome.LoadReport = r.finished, l.currentLoadReport(result)
 	l.balancer.HandleOutcome(now, outcome)
-	l.requests.forgetIfDone(r)
 }
 
 // respond passes a final response to the request's handler. If r is nil or already finished, it closes the response.
 func (l *loop) respond(r *request, response finalResponse) {
 	if r != nil && !r.finished {
 		l.trace(r, "final response", "code", response.code, "attempts", len(r.attempts))
-		r.finish()
+		l.requests.finish(r)
 		r.response <- response // the send does not block: the channel has room for the only response
 		return
 	}
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -10,7 +10,9 @@
 )
 
 // requestTable holds the requests that the balancer's actions may still refer to: those without a final response and
-// those with attempts in flight. The loop's goroutine owns it.
+// those with attempts in flight. Only its methods change whether a request is finished and how many attempts it has in
+// flight, and they remove the request with the last of these changes, whatever event has caused it. The loop's
+// goroutine owns the table.
 type requestTable struct {
 	byID   map[uint64]*request
 	lastID uint64 // id given last; ids start at 1
@@ -25,8 +27,30 @@
 	t.byID[r.id] = r
 }
 
-// forgetIfDone removes the request from the table if it is finished and has no attempt in flight.
-func (t *requestTable) forgetIfDone(r *request) {
+// finish marks a request as finished, after which it gets no new attempt. It cancels the attempts that are not sent yet,
+// even if the settings do not allow cancelling attempts: no endpoint knows of an attempt that was not sent.
+func (t *requestTable) finish(r *request) {
+	r.finished = true
+	for i := range r.attempts {
+		r.attempts[i].cancelUnsent()
+	}
+	t.removeIfDone(r)
+}
+
+// beginAttempt adds an attempt to a request. The attempt is in flight until endAttempt is called for it.
+func (t *requestTable) beginAttempt(r *request, a attempt) {
+	r.attempts = append(r.attempts, a)
+	r.inFlight++
+}
+
+// endAttempt records that one of the attempts of a request has an outcome.
+func (t *requestTable) endAttempt(r *request) {
+	r.inFlight--
+	t.removeIfDone(r)
+}
+
+// removeIfDone removes a request from the table if it is finished and has no attempt in flight.
+func (t *requestTable) removeIfDone(r *request) {
 	if r.finished && r.inFlight == 0 {
 		delete(t.byID, r.id)
 	}
@@ -40,9 +64,9 @@
 	message      *upstream.Request  // the request to forward
 	deadline     balancer.Micros    // time by which the final response is due
 	response     chan finalResponse // channel for the final response, with room for it; sent to at most once
-	finished     bool               // whether the final response was sent to the channel response, or the client is gone
+	finished     bool               // whether a final response was chosen, or the client is gone; see requestTable.finish
 	attempts     []attempt
-	inFlight     int         // number of attempts without an outcome
+	inFlight     int         // number of attempts without an outcome; see requestTable.beginAttempt
 	clientClosed func() bool // function that reports whether the client has closed its connection
 	times        stages.RequestTimes
 }
@@ -60,16 +84,6 @@
 	}
 }
 
-// finish marks the request as finished, after which the request gets no new attempt. It cancels the attempts that are
-// not sent yet, even if the settings do not allow cancelling attempts: no endpoint knows of an attempt that was not
-// sent.
-func (r *request) finish() {
-	r.finished = true
-	for i := range r.attempts {
-		r.attempts[i].cancelUnsent()
-	}
-}
-
 // recordTimes stores the times of the successful attempt if all stages of the request can be measured: it was the first
 // and only attempt, and the request's body was not streamed.
 func (r *request) recordTimes(times stages.AttemptTimes) {
