Forget the names of endpoints that were uncordoned

The balancer's set of cordoned names kept an entry, set to false, for each name that operators ever cordoned and uncordoned. A name is now deleted: one that is absent counts as not cordoned.

TestUncordonedNamesAreForgotten: 200 names before, none after. No decision depends on it.

--- a/balancer/cordon_test.go
+++ b/balancer/cordon_test.go
@@ -116,3 +116,15 @@
 		t.Errorf("%d of 1000 balancers sent to the uncordoned endpoint at once, want 1 to %d", used, 4*maxTrialBalancers)
 	}
 }
+
+// Guards against a set of names that grows with each endpoint that operators have ever cordoned and uncordoned.
+func TestUncordonedNamesAreForgotten(t *testing.T) {
+	b, _ := startBalancer(t, testSettings(), withNames(readyEndpoints(2)))
+	for name := uint64(1); name <= 200; name++ { // includes the names of endpoints that are listed
+		b.Cordon(Micros(name), name, true, 0)
+		b.Cordon(Micros(name), name, false, 0)
+	}
+	if n := len(b.membership.cordoned); n != 0 {
+		t.Errorf("got %d names of cordoned endpoints after all were uncordoned, want none", n)
+	}
+}
--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -9,7 +9,7 @@
 	*environment
 	endpoints         []*endpoint // in the order in which they were first listed
 	byID              map[uint32]*endpoint
-	cordoned          map[uint64]bool             // whether endpoints are cordoned, by their name
+	cordoned          map[uint64]bool             // names of the cordoned endpoints
 	restoredEstimates map[uint64]EndpointEstimate // estimates from Restore by name, until the endpoint is listed
 	removedStartTimes map[uint64]Micros           // start times of removed endpoints, by name
 	listReceived      bool                        // a list arrived; if subscribing, one that is not cached
@@ -38,7 +38,13 @@
 
 // setCordoned records whether endpoints of this name are cordoned. This applies to entries listed from now
 // on; known endpoints are not changed.
-func (m *membership) setCordoned(name uint64, cordoned bool) { m.cordoned[name] = cordoned }
+func (m *membership) setCordoned(name uint64, cordoned bool) {
+	if !cordoned {
+		delete(m.cordoned, name)
+		return
+	}
+	m.cordoned[name] = true
+}
 
 // beginUpdate marks all endpoints as not listed. It is called before the entries of a list are stored.
 func (m *membership) beginUpdate() {
