Relay long responses during a shutdown until SIGKILL

Cause: the shutdown awaited requests in flight until half a second after their latest deadline. The deadline is the time by which a response must begin; one that has begun has none.

Why it works: requests in flight are awaited until half a second after both their latest deadline and the time at which SIGKILL is due. What SIGKILL cuts off ends with a reset: a connection is set to be reset from the first byte of a relayed response to its last, so no way of ending it, of this process or a later one, can make the response look complete. Before, SIGKILL in the middle of a response without a length looked like its end.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -52,7 +52,7 @@
 	// deadline of the socket, so that readDeadline can be restored.
 	readDeadline  time.Time
 	peerClosed    bool // the client has closed its side, or the connection is broken
-	resetOnClose  bool // the connection is closed with a reset
+	relaying      bool // a relayed response is incomplete: see beginRelay
 	rejectPartial bool // Close answers a partly received request with rejectionResponse
 }
 
--- a/internal/downstream/conn_close.go
+++ b/internal/downstream/conn_close.go
@@ -44,7 +44,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.resetOnClose:
+	case c.relaying:
 		return closedTruncated
 	case c.peerClosed:
 		return closedByClient
@@ -60,7 +60,7 @@
 func (c *Conn) closeWithReason(reason closeReason) {
 	c.mu.Lock()
 	evicted := c.phase == phaseEvicted // if so, evictOne has counted the close
-	closeNow := c.resetOnClose || c.peerClosed || evicted
+	closeNow := c.relaying || c.peerClosed || evicted
 	sendRejection := c.rejectPartial && c.head.Size > 0 && c.head.HeadSize == 0 && !c.responseWritten
 	firstCall := c.setPhase(phaseClosed)
 	c.mu.Unlock()
@@ -94,17 +94,37 @@
 	c.Conn.Close()
 }
 
-// ResetOnClose makes the later close of the connection a reset. Without it, a client that recognizes the end of its
-// response only by the end of the connection would take a truncated response for a complete one.
-func (c *Conn) ResetOnClose() {
+// beginRelay marks that the response is incomplete until endRelay is called. If the connection ends before that, it
+// ends with a reset, whether Close is called or the process is killed. Otherwise, a client that recognizes the end of
+// its response only by the end of the connection would take a truncated response for a complete one.
+func (c *Conn) beginRelay() { c.setRelaying(true, lingerReset) }
+
+// endRelay marks that the last byte of the response has been written.
+func (c *Conn) endRelay() { c.setRelaying(false, lingerDefault) }
+
+// Values of the socket option SO_LINGER, in seconds. The kernel applies the option to each way of closing the socket.
+const (
+	lingerDefault = -1 // the kernel sends what has been written, and then the end of the connection
+	lingerReset   = 0  // the kernel resets the connection
+)
+
+// setRelaying sets the field relaying and the socket option SO_LINGER.
+func (c *Conn) setRelaying(relaying bool, linger int) {
 	c.mu.Lock()
-	c.resetOnClose = true
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.relaying = relaying
 	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.SetLinger(0)
+		t.SetLinger(linger)
 	}
 }
 
+// Relaying reports whether a relayed response has begun and is incomplete.
+func (c *Conn) Relaying() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relaying
+}
+
 // tryEvict marks the connection as evicted if it can be evicted without losing a request: the socket has nothing to
 // read, and no complete head was read since the last complete request. It returns false, and changes nothing, if the
 // connection cannot be evicted. If it returns true, nothing more is read from the connection and the caller must close
--- a/internal/downstream/relay.go
+++ b/internal/downstream/relay.go
@@ -16,8 +16,9 @@
 
 // Relay flushes the head of a response and then copies body to w, chunk by chunk as it arrives. c is the connection to
 // which w writes. The write of each chunk may take up to httpmsg.ChunkTimeout. An error means that the client did not
-// get the complete response.
+// get the complete response; the connection must then be closed, which resets it.
 func Relay(w http.ResponseWriter, c *Conn, body io.Reader) error {
+	c.beginRelay()
 	c.limitSendBuffer(sendBufferBytes)
 	control := http.NewResponseController(w)
 	chunk := httpmsg.ChunkBuffers.Get().(*[httpmsg.ChunkBytes]byte)
@@ -34,6 +35,7 @@
 			}
 		}
 		if readErr == io.EOF { // not errors.Is: an error that wraps io.EOF may mean that the body was cut off
+			c.endRelay()
 			return nil
 		}
 		if readErr != nil {
--- a/internal/downstream/state.go
+++ b/internal/downstream/state.go
@@ -31,7 +31,7 @@
 	stateServing: {
 		stateWaiting:  true, // EndRequest
 		stateClosing:  true, // Close
-		stateReleased: true, // Close once the client has closed its side or the connection is broken, or after ResetOnClose
+		stateReleased: true, // Close once the client has closed its side or the connection is broken, or during a relay
 	},
 	stateRejecting: {
 		stateClosing:  true, // Close, once the rejection is written
--- a/internal/sidecar/doc.go
+++ b/internal/sidecar/doc.go
@@ -16,6 +16,6 @@
 //   - Each admitted request either gets exactly one final response, the one that the loop chooses, or its client's
 //     connection is closed.
 //   - Each started attempt has exactly one outcome. It is reported to the balancer even if the request has ended.
-//   - No request is admitted after shutdown has closed admission, and no request in flight is cut off before its
-//     deadline.
+//   - No request is admitted after shutdown has closed admission. No request in flight is cut off before its deadline
+//     and, if its response has begun, before SIGKILL is due.
 package sidecar
--- a/internal/sidecar/inflight.go
+++ b/internal/sidecar/inflight.go
@@ -73,9 +73,9 @@
 	return len(f.byID)
 }
 
-// latestDeadline returns the latest deadline of the open requests, and whether there is an open request. The deadline
-// of an upload is computed as if its last byte had arrived at admissionClosedAt, because a last byte that arrives later
-// is not forwarded.
+// latestDeadline returns the latest deadline of the open requests, and whether there is an open request. A response
+// must begin by the deadline, but may be relayed for longer. The deadline of an upload is computed as if its last byte
+// had arrived at admissionClosedAt, because a last byte that arrives later is not forwarded.
 func (f *inFlightRequests) latestDeadline(admissionClosedAt time.Time) (latest time.Time, found bool) {
 	for _, r := range f.all() {
 		deadline := r.deadline
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -27,8 +27,8 @@
 	t.byID[r.id] = r
 }
 
-// finish marks a request as finished, after which it gets no new attempt. It cancels the attempts that are not sent yet,
-// even if the settings do not allow cancelling attempts: no endpoint knows of an attempt that was not sent.
+// finish marks a request as finished, after which it gets no new attempt. It cancels the attempts that are not sent
+// yet, even if the settings do not allow cancelling attempts: no endpoint knows of an attempt that was not sent.
 func (t *requestTable) finish(r *request) {
 	r.finished = true
 	for i := range r.attempts {
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -31,7 +31,6 @@
 		return
 	}
 	if err := downstream.Relay(w, conn, response.remainder); err != nil {
-		conn.ResetOnClose()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -16,7 +18,8 @@
 //	                  unless another process of the sidecar is ready, which then accepts them
 //	admission closed  connections without a request are closed, requests read from now on are rejected before any
 //	                  attempt, and streamed bodies are stopped before their last byte is forwarded
-//	answering         requests in flight are answered by their deadlines
+//	answering         requests in flight are answered by their deadlines; responses that have begun are relayed for
+//	                  as long as their endpoints send them, up to the time of SIGKILL
 //	ended             nothing is in flight: the remaining connections are closed
 
 const (
@@ -28,7 +31,7 @@
 	killDelay        = 700 * time.Millisecond // SIGKILL follows SIGTERM after the longest client timeout plus killDelay
 	maxClientTimeout = 3 * time.Second        // upper limit of the longest client timeout in the time of SIGKILL
 	killMargin       = 150 * time.Millisecond // time before SIGKILL at which partial requests are rejected
-	responseGrace    = 500 * time.Millisecond // how long after its deadline a request in flight may still be answered
+	responseGrace    = 500 * time.Millisecond // how long requests in flight are awaited after their deadlines and SIGKILL
 
 	// closeGrace is the time for clients to close their connections once nothing is in flight. It is longer than
 	// half-closing a connection takes.
@@ -75,39 +78,18 @@
 	time.Sleep(time.Until(drainEnd))
 	s.admission.close()
 	s.logPhase("admission closed", started)
-	s.awaitInFlight(started, time.Now())
+	s.awaitInFlight(newAnsweringPhase(s, started, time.Now()))
 	s.logPhase("shutdown complete", started)
 	s.http.Close()
 	requests, stages := s.loop.stages.Summary()
 	s.log.Info("stage latencies", "requests", requests, "median/p99_us", stages)
 }
 
-// awaitInFlight waits until every request in flight has its response and every connection is closed, within the time
-// limits above. Requests that are still incomplete shortly before SIGKILL is due are rejected. The time of SIGKILL is
-// computed from started, the start of the shutdown.
-func (s *server) awaitInFlight(started, admissionClosedAt time.Time) {
-	longestTimeout := min(s.loop.current.Load().LongestClientTimeout(), maxClientTimeout)
-	partialDeadline := started.Add(longestTimeout + killDelay - killMargin)
-	idleSince := time.Time{} // start of the period with nothing in flight; zero while a request is in flight
+// awaitInFlight waits until the answering phase has ended or every connection is closed.
+func (s *server) awaitInFlight(phase *answeringPhase) {
 	// The loop starts with a pause because a connection that is just being accepted may not be in the count yet.
 	for time.Sleep(sweepInterval); s.clients.Count() > 0; time.Sleep(sweepInterval) {
-		now := time.Now()
-		s.clients.ExpireIdle(0, 0)
-		if now.After(partialDeadline) {
-			s.clients.RejectPartial()
-		}
-		if latest, found := s.inFlight.latestDeadline(admissionClosedAt); found {
-			idleSince = time.Time{}
-			if now.After(latest.Add(responseGrace)) {
-				s.abortInFlight()
-				return
-			}
-			continue
-		}
-		if idleSince.IsZero() {
-			idleSince = now
-		}
-		if now.Sub(idleSince) > closeGrace && now.Sub(partialDeadline) > closeGrace {
+		if phase.step(time.Now()) {
 			return
 		}
 	}
@@ -119,13 +101,12 @@
 		"requests", s.inFlight.count(), "replaced", s.hasReadyPeer())
 }
 
-// abortInFlight logs each request that has no complete response when the process ends. The request's connection will be
-// reset when it is closed, so that the client does not mistake a partial response for a complete one.
-func (s *server) abortInFlight() {
+// logInFlight logs each request in flight.
+func (s *server) logInFlight(level slog.Level, message string) {
 	for _, r := range s.inFlight.all() {
-		r.conn.ResetOnClose()
-		s.log.Error("request aborted by shutdown", "id", r.id, "class", r.class,
+		s.log.Log(context.Background(), level, message, "id", r.id, "class", r.class,
 			"age_ms", time.Since(r.arrivedAt).Milliseconds(), "remaining_ms", time.Until(r.deadline).Milliseconds(),
-			"connection_age_ms", time.Since(r.conn.AcceptedAt).Milliseconds(), "requests_on_connection", r.conn.Requests)
+			"connection_age_ms", time.Since(r.conn.AcceptedAt).Milliseconds(), "requests_on_connection", r.conn.Requests,
+			"relaying", r.conn.Relaying())
 	}
 }
