Do not await an attempt of a request that was rejected at once

TestRejectedRequestsStayWithinTheMemoryLimit hung once, in a run with -race: a request that did not wait for probes was rejected at once, and the test waited for the end of an attempt that it never had (seen in the stacks after 172 s). The test now awaits an attempt only if there is one, and such a wait fails after the time limit of the tests.

--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -99,7 +99,15 @@
 }
 
 // awaitEvent handles the next event that another goroutine posts: the outcome of an attempt.
-func (s *steppedLoop) awaitEvent() { (<-s.events.queued)(s.clock.now()) }
+func (s *steppedLoop) awaitEvent() {
+	s.t.Helper()
+	select {
+	case e := <-s.events.queued:
+		e(s.clock.now())
+	case <-time.After(sidecartest.WaitTimeout):
+		s.t.Fatal("no attempt has ended")
+	}
+}
 
 // Guards against requests that stay in a table after their end, as those did that were rejected after a wait for
 // probes: each kept its body in memory for the life of the process.
@@ -188,7 +196,9 @@
 		r, waits := s.arrive(0, make([]byte, httpmsg.MaxBufferedBytes))
 		if !waits { // while it rejects many requests, the balancer sends probes for a part of the others only
 			s.handleClientGone(s.clock.now(), r)
-			s.awaitEvent()
+			if r.inFlight > 0 { // an attempt was sent; otherwise the request was rejected at once
+				s.awaitEvent()
+			}
 			continue
 		}
 		s.rejectWaiting()
