Abandon a request in one place

A handler that stops waiting for the final response has to tell the loop, which otherwise keeps the request in its table. forward did so in each of its four exits. The wait is now a function of its own that returns how it has ended, and tells the loop by one defer unless it was answered; its zero value counts as not answered, so an exit added later can't leave that out.

--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -9,16 +9,23 @@
 	"oakproxy/internal/downstream"
 )
 
+// waitEnd says how a handler's wait for the final response has ended.
+type waitEnd uint8
+
+const (
+	waitClientLost      waitEnd = iota // the client is gone, or too slow with its body
+	waitAdmissionClosed                // admission has closed before the last byte of the body was forwarded
+	waitUnreadableBody                 // the body cannot be read
+	waitAnswered                       // the loop has chosen the final response
+)
+
 // forward passes a request to the loop and ends it in exactly one way: it writes the loop's final response, rejects the
 // request because its body cannot be read or admission has closed, or aborts the connection of a client that is gone or
 // too slow with its body.
 func (s *server) forward(x *exchange) {
 	openReq := newOpenRequest(x, s.loop.clock.timeAt(x.request.Deadline))
-	var uploadFailed <-chan error
-	var admissionClosed <-chan struct{}
 	upload := x.message.Upload
 	if upload != nil {
-		uploadFailed, admissionClosed = upload.ClientFailure, s.admission.closed
 		openReq.isUpload, openReq.timeAfterBody = true, upload.TimeLeft
 	}
 	if !s.inFlight.add(openReq) {
@@ -33,36 +40,55 @@
 	r := &request{response: make(chan finalResponse, 1), message: x.message,
 		clientClosed: x.conn.ClientClosed, times: x.times}
 	s.admit(r, x.request)
+	response, end := s.awaitResponse(x, r)
+	switch end {
+	case waitAnswered:
+		s.respond(x, r, openReq, response)
+	case waitAdmissionClosed:
+		rejectTerminating(x.w)
+		s.inFlight.remove(openReq)
+		s.drainUpload(x.w, x.conn, upload)
+	case waitUnreadableBody:
+		rejectInvalid(x.w, x.in, downstream.NewBadRequest("the body could not be read"))
+	case waitClientLost:
+		// The client may have closed only its sending side and may still be reading. If the handler returned, net/http
+		// would write a complete, empty response, which no endpoint has sent. The panic closes the connection instead.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// awaitResponse waits for the loop's final response, and returns it if the wait ends with waitAnswered. In any other
+// case, it makes the loop end the request.
+func (s *server) awaitResponse(x *exchange, r *request) (response finalResponse, end waitEnd) {
+	defer func() {
+		if end != waitAnswered {
+			s.abandon(r)
+		}
+	}()
+	var uploadFailed <-chan error
+	var admissionClosed <-chan struct{}
+	upload := r.message.Upload
+	if upload != nil {
+		uploadFailed, admissionClosed = upload.ClientFailure, s.admission.closed
+	}
 	for {
 		select {
 		case response := <-r.response:
-			s.respond(x, r, openReq, response)
-			return
+			return response, waitAnswered
 		case <-admissionClosed:
-			admissionClosed = nil
-			if upload.Stop() { // false if the last byte may have been sent; the request then still awaits its response
-				s.abandon(r)
-				rejectTerminating(x.w)
-				s.inFlight.remove(openReq)
-				s.drainUpload(x.w, x.conn, upload)
-				return
+			if upload.Stop() {
+				return finalResponse{}, waitAdmissionClosed
 			}
-		case err := <-uploadFailed:
-			s.abandon(r)
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				panic(http.ErrAbortHandler)
+			admissionClosed = nil // the last byte may have been sent, so the request still awaits its response
+		case failure := <-uploadFailed:
+			if errors.Is(failure, os.ErrDeadlineExceeded) {
+				return finalResponse{}, waitClientLost
 			}
-			rejectInvalid(x.w, x.in, downstream.NewBadRequest("the body could not be read"))
-			return
+			return finalResponse{}, waitUnreadableBody
 		case <-x.clientLeft:
-			s.abandon(r)
-			panic(http.ErrAbortHandler)
+			return finalResponse{}, waitClientLost
 		case <-x.in.Context().Done():
-			s.abandon(r)
-			// The client may have closed only its sending side and may still be reading. If the handler returned,
-			// net/http would write a complete, empty response, which no endpoint has sent. The panic closes the
-			// connection instead.
-			panic(http.ErrAbortHandler)
+			return finalResponse{}, waitClientLost
 		}
 	}
 }
