End an upload whose endpoint hangs within the client's time

What callers saw: a client that had written its long body whole got 503 9.86 s after its last byte, if the endpoint that got the body hung.

Cause: while an endpoint accepts nothing, the sidecar reads nothing more from the client and can't learn that its last byte is written, so the deadline of the request does not apply yet. The only limit was the 10 s for one piece, made for clients that read slowly.

Evidence: 742,758 bytes waited in the client's machine, so neither the check of the last bytes nor the deadline of the response was reached; the status was 503, so the body was not read too slowly.

Why it works: a piece must be accepted before the response would be due if the piece had brought the client's last byte. The request has not run then, so it may be rejected.

TestSlowEndpointDoesNotHoldUpAnUpload fails before (10 s in each case) and passes. internal/upstream, internal/sidecar and cmd/sidecar pass.

--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -85,7 +85,7 @@
 	}
 	u.consumed.Store(true)
 	n, err := u.Body.Read(p)
-	u.lastDataAt = time.Now().Add(-u.Body.LastDataAge())
+	u.recordArrival()
 	if errors.Is(err, io.EOF) {
 		u.ReachedEOF.Store(true)
 	} else if err != nil {
@@ -98,6 +98,9 @@
 	return n, err
 }
 
+// recordArrival sets lastDataAt after a read from the client.
+func (u *Upload) recordArrival() { u.lastDataAt = time.Now().Add(-u.Body.LastDataAge()) }
+
 // Stop prevents the last bytes from being written, so that the request never runs. It reports whether the upload was
 // still streaming; if not, it has already been stopped or its last bytes may have been sent.
 func (u *Upload) Stop() bool { return u.enterFinalPhase(uploadStopped) }
@@ -106,6 +109,14 @@
 // body has been written.
 func (u *Upload) Deadline() time.Time { return u.lastDataAt.Add(u.TimeLeft) }
 
+// pieceDeadline returns the deadline for the write of the piece that was read last, which begins now. The client's time
+// counts as maxWriteDelay if it is shorter, because a delay of that length is harmless.
+func (u *Upload) pieceDeadline(now time.Time) time.Time {
+	responseDue := u.lastDataAt.Add(max(u.TimeLeft, maxWriteDelay))
+	timeLeft := responseDue.Sub(now)
+	return now.Add(min(httpmsg.ChunkTimeout, max(minWriteTime, timeLeft)))
+}
+
 // Finish ends the attempt's use of the body, because nothing may read the body once the client's handler has returned.
 // It waits for a read that is in progress; the minimum rate at which the client must send limits that wait.
 func (u *Upload) Finish() {
@@ -158,7 +169,12 @@
 	return ctx.Err()
 }
 
-// uploadWriter writes an upload to an endpoint. The endpoint must accept each piece within httpmsg.ChunkTimeout.
+// minWriteTime is the least time for the write of a piece: enough for a write that does not block.
+const minWriteTime = 5 * time.Millisecond
+
+// uploadWriter writes an upload to an endpoint. The endpoint must accept each piece within httpmsg.ChunkTimeout, and
+// before the response is due if the client has sent its last byte: the byte may wait behind the piece, because the
+// sidecar reads nothing from the client until the endpoint has accepted the piece.
 type uploadWriter struct {
 	*conn
 	upload    *Upload
@@ -173,7 +189,7 @@
 			return 0, err
 		}
 	}
-	w.conn.SetWriteDeadline(time.Now().Add(httpmsg.ChunkTimeout))
+	w.conn.SetWriteDeadline(w.upload.pieceDeadline(time.Now()))
 	if err := w.conn.ctx.Err(); err != nil {
 		return 0, err // the deadline that interrupt has set may have been overwritten
 	}
@@ -208,6 +224,7 @@
 
 // copyBody writes the buffered beginning of the body to a writer, and then copies the upload through a buffer.
 func (r *Request) copyBody(to io.Writer, buffer []byte) error {
+	r.Upload.recordArrival()
 	if _, err := to.Write(r.Body); err != nil {
 		return err
 	}
