Check after each test of the sidecar that no request is held

The harness now ends each test by closing the clients' connections and waiting until the loop's table and the balancer's ledger are empty, unless the sidecar has ended. So every path that a test takes, and every path added later with a test, is checked for requests that outlast their clients.

--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -163,11 +163,32 @@
 	h.t.Cleanup(func() {
 		stop()
 		h.server.http.Close()
+		h.requireNothingHeld(loopCtx)
 		// A sidecar that is draining would continue to call discovery, whose port might by then be used by another test.
 		stopLoop()
 	})
 }
 
+// requireNothingHeld fails the test if the loop or the balancer still holds a request a while after all clients'
+// connections were closed. It checks nothing if the sidecar has ended: its loop handles no events any more.
+func (h *harness) requireNothingHeld(loopCtx context.Context) {
+	h.t.Helper()
+	for deadline := time.Now().Add(sidecartest.WaitTimeout); loopCtx.Err() == nil; time.Sleep(time.Millisecond) {
+		var inTable, inLedger int
+		h.loop.events.runUrgent(func(now balancer.Micros) {
+			inTable, inLedger = len(h.loop.requests.byID), h.loop.balancer.Stats(now).Held
+		})
+		if inTable == 0 && inLedger == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			h.t.Errorf("the loop's table has %d requests and the balancer's ledger %d after their clients have gone, "+
+				"want none", inTable, inLedger)
+			return
+		}
+	}
+}
+
 // await waits until condition returns true, as sidecartest.Await does.
 func (h *harness) await(description string, condition func() bool) {
 	h.t.Helper()
