Give the loop one interface to the server in place of three callbacks

The loop had three optional functions that the server set: apply limits, count closes, count open requests. They are now the methods of one interface. No behaviour changes.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -42,6 +42,16 @@
 	Stats(now balancer.Micros) balancer.Stats
 }
 
+// clientSide is the part of the server that the loop calls. Its methods may be called from any goroutine.
+type clientSide interface {
+	// reapplyLimits applies limits that a reload has changed.
+	reapplyLimits()
+	// closeCounts returns how many clients' connections were closed for each cause.
+	closeCounts() downstream.CloseCounts
+	// openRequests returns how many requests have handlers that have not returned.
+	openRequests() int
+}
+
 // loop owns the balancer and the tables of requests and endpoints. The goroutine that calls run, the loop's goroutine,
 // passes every event to the balancer and carries out the balancer's Actions. It never waits for the network: attempts,
 // probes and the watch of the endpoint list run in other goroutines, which report back through the event queue.
@@ -59,12 +69,8 @@
 	stages           stages.Recorder                 // times of the stages of served requests
 	current          atomic.Pointer[config.Snapshot] // the configuration in force
 
-	// onLimitsChanged applies limits that a reload has changed; may be nil.
-	onLimitsChanged func()
-	// closeCounts returns how many clients' connections were closed for each cause; may be nil.
-	closeCounts func() downstream.CloseCounts
-	// countOpenRequests returns how many requests' handlers have not returned; may be nil.
-	countOpenRequests func() int
+	// clientSide serves the clients whose requests the loop handles; nil if there are no clients.
+	clientSide clientSide
 	// warmStart has the estimates of an earlier process, for the balancer to start with; may be nil.
 	warmStart *balancer.Estimates
 	// saveEstimates stores the balancer's estimates. It is called once every pruneInterval; may be nil.
@@ -151,8 +157,8 @@
 func (l *loop) logStats(now balancer.Micros) {
 	c := counters{balancer: l.balancer.Stats(now), upstream: l.upstream.Counts(), discoveryCalls: l.watcher.callCounts,
 		stages: l.stages.Totals()}
-	if l.closeCounts != nil {
-		c.closes = l.closeCounts()
+	if l.clientSide != nil {
+		c.closes = l.clientSide.closeCounts()
 	}
 	l.stats.logSinceLast(&c, gauges{listAgeMS: l.watcher.listAgeMS(now), listVersion: l.watcher.position.CurrentVersion,
 		maxEventWait: l.events.takeMaxWait(), inForce: l.current.Load(), rejectedReloads: l.rejectedReloads,
@@ -163,8 +169,8 @@
 func (l *loop) heldResources() heldResources {
 	held := heldResources{tableEntries: len(l.requests.byID), bodyMemory: l.upstream.BodyMemory.Used.Load(),
 		heap: heapBytes(), goroutines: runtime.NumGoroutine()}
-	if l.countOpenRequests != nil {
-		held.openRequests = l.countOpenRequests()
+	if l.clientSide != nil {
+		held.openRequests = l.clientSide.openRequests()
 	}
 	return held
 }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -37,8 +37,8 @@
 	l.activate(l.current.Load().Next(merged, newCfg.Hash()))
 	l.cancelUnsent(withdrawn)
 	l.upstream.Configure(merged)
-	if old.Limits != merged.Limits && l.onLimitsChanged != nil {
-		l.onLimitsChanged()
+	if old.Limits != merged.Limits && l.clientSide != nil {
+		l.clientSide.reapplyLimits()
 	}
 	if old.ChangesDiscovery(merged) {
 		l.restartWatch()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -85,7 +85,7 @@
 		drainPeriod: defaultDrainPeriod,
 		clients: &downstream.Listener{Log: l.log, MaxConnections: maxConnections(l.cfg),
 			MaxUsed: l.cfg.Limits.Sockets / usedConnectionsDivisor}}
-	l.onLimitsChanged, l.closeCounts, l.countOpenRequests = s.reapplyLimits, s.clients.CloseCounts, s.inFlight.count
+	l.clientSide = s
 	s.http = http.Server{
 		// The handler is not a ServeMux, which would redirect paths that endpoints must receive unchanged.
 		Handler:           http.HandlerFunc(s.serveRequest),
@@ -103,6 +103,12 @@
 	return s
 }
 
+var _ clientSide = (*server)(nil)
+
+func (s *server) closeCounts() downstream.CloseCounts { return s.clients.CloseCounts() }
+
+func (s *server) openRequests() int { return s.inFlight.count() }
+
 // draining reports whether clients should disconnect. While it returns true, every response ends its connection.
 func (s *server) draining() bool { return s.terminating.Load() || s.drainedByOperator.Load() }
 
