Set a connection to be reset before a relayed response begins

tools/faults -race failed once: TestKilledProcessResetsIncompleteResponses got 64,536 more bytes as a complete response. Cause: the head and the buffered beginning of the response, 64 KiB, were written before Relay set the connection to be reset, so SIGKILL in between ended it as usual. The number of bytes is the beginning less the 1,000 that the test had read.

Relay now gets a function that writes the beginning and calls it after it has set the connection, so nobody can write a part of a relayed response outside of it.

--- a/internal/downstream/relay.go
+++ b/internal/downstream/relay.go
@@ -14,12 +14,14 @@
 // no longer reads.
 const sendBufferBytes = 128 << 10
 
-// Relay flushes the head of a response and then copies body to w, chunk by chunk as it arrives. c is the connection to
-// which w writes. The write of each chunk may take up to httpmsg.ChunkTimeout. An error means that the client did not
-// get the complete response; the connection must then be closed, which resets it.
-func Relay(w http.ResponseWriter, c *Conn, body io.Reader) error {
+// Relay calls writeBeginning, which writes the head of a response to w and may write the beginning of its body. Relay
+// then copies the rest of the body to w, chunk by chunk as it arrives. c is the connection to which w writes. The write
+// of each chunk may take up to httpmsg.ChunkTimeout. An error means that the client did not get the complete response;
+// the connection must then be closed, which resets it.
+func Relay(w http.ResponseWriter, c *Conn, writeBeginning func(), rest io.Reader) error {
 	c.beginRelay()
 	c.limitSendBuffer(sendBufferBytes)
+	writeBeginning()
 	control := http.NewResponseController(w)
 	chunk := httpmsg.ChunkBuffers.Get().(*[httpmsg.ChunkBytes]byte)
 	defer httpmsg.ChunkBuffers.Put(chunk)
@@ -27,7 +29,7 @@
 		return fmt.Errorf("flush the response head: %w", err)
 	}
 	for {
-		n, readErr := body.Read(chunk[:])
+		n, readErr := rest.Read(chunk[:])
 		if n > 0 {
 			c.SetWriteDeadline(time.Now().Add(httpmsg.ChunkTimeout))
 			if err := writeAndFlush(w, control, chunk[:n]); err != nil {
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -25,12 +25,13 @@
 	if extraBytes || bodyPending || s.clients.OverUsedLimit() || s.draining() {
 		w.Header().Set("Connection", "close")
 	}
-	writeFinalResponse(w, response)
 	if response.remainder == nil {
+		writeFinalResponse(w, response)
 		s.recordStages(r)
 		return
 	}
-	if err := downstream.Relay(w, conn, response.remainder); err != nil {
+	writeBeginning := func() { writeFinalResponse(w, response) }
+	if err := downstream.Relay(w, conn, writeBeginning, response.remainder); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
