review: case 10 is now a replaced process that forgets a drain

This is nearer to what operators meet than the six configurations of the earlier case 10, which it replaces. What: a case in which the process is replaced while discovery is down for 8 s; an endpoint drains since before.

--- a/review/standin-2/kit.go
+++ b/review/standin-2/kit.go
@@ -96,7 +96,8 @@
 	hosts   []host
 	changed chan struct{}
 	server  *http.Server
-	delay   time.Duration // how long each call waits for its turn
+	down    chan struct{} // closed when discovery goes down
+	isDown  bool
 	calls   int
 }
 
@@ -104,25 +105,26 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	d := &discovery{w: w, name: name, address: l.Addr().String(), seq: seq, hosts: append([]host(nil), hosts...),
-		changed: make(chan struct{})}
+		changed: make(chan struct{}), down: make(chan struct{})}
 	d.server = &http.Server{Handler: http.HandlerFunc(d.serve)}
 	go d.server.Serve(l)
 	return d
 }
 
-// listenAlso returns a further address at which the service can be reached.
-func (d *discovery) listenAlso() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	go d.server.Serve(l)
-	return l.Addr().String()
+// goDown ends all watches; calls are reset until comeBack is called.
+func (d *discovery) goDown() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.w.log("%s: down", d.name)
+	d.isDown = true
+	close(d.down)
 }
 
-// setDelay sets how long each later call waits for its turn.
-func (d *discovery) setDelay(delay time.Duration) {
+func (d *discovery) comeBack() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.delay = delay
+	d.w.log("%s: back", d.name)
+	d.isDown, d.down = false, make(chan struct{})
 }
 
 // set changes the entry of a host and returns when the list has the change.
@@ -144,13 +146,11 @@
 func (d *discovery) serve(out http.ResponseWriter, in *http.Request) {
 	d.mu.Lock()
 	d.calls++
-	call, delay := d.calls, d.delay
+	call, isDown, down := d.calls, d.isDown, d.down
 	d.mu.Unlock()
-	select {
-	case <-time.After(delay):
-	case <-in.Context().Done():
-		d.w.log("%s: call %d %q: the caller has given up", d.name, call, in.URL.RawQuery)
-		return
+	if isDown {
+		d.w.log("%s: call %d %q: down, reset", d.name, call, in.URL.RawQuery)
+		panic(http.ErrAbortHandler)
 	}
 	query := in.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -171,6 +171,9 @@
 			waiting = false
 		case <-in.Context().Done():
 			return
+		case <-down:
+			d.w.log("%s: call %d %q: the watch ends, as discovery goes down", d.name, call, in.URL.RawQuery)
+			panic(http.ErrAbortHandler)
 		}
 	}
 	d.mu.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,7 +16,7 @@
 	"slowread": caseSlowRead,
 	"relay":    caseRelay,
 	"scope":    caseScope,
-	"storm":    caseStorm,
+	"upgrade":  caseUpgrade,
 }
 
 // longest is the time after which a case is given up.
