review: case 9, a process that shuts down still counts as the ready one

Why: a request on a connection that the machine has accepted must get its answer half a second after its time at the latest. What: a case in which a process is replaced, and the new one gets a planned restart just before the old one ends.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,7 @@
 	"heads":    caseHeads,
 	"slowread": caseSlowRead,
 	"scope":    caseScope,
+	"stale":    caseStale,
 }
 
 // longest is the time after which a case is given up.
