--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(w *world) (int, string){
 	"heads":    caseHeads,
 	"slowread": caseSlowRead,
+	"ready":    caseReady,
 	"scope":    caseScope,
 	"stale":    caseStale,
 }
