review: cases 8 and 9 check their own order of events more strictly

Why: case 8 looked for any earlier reload in the log, and case 9 left the old process little time to end. What: case 8 wants one reload of each of its sidecars in force; in case 9 the restart comes 0.1 s before the old process ends. Checks and bounds are unchanged.

--- a/review/standin-2/scope.go
+++ b/review/standin-2/scope.go
@@ -75,7 +75,7 @@
 			p.signal(syscall.SIGHUP)
 			time.Sleep(500 * time.Millisecond)
 			text, _ := os.ReadFile(filepath.Join(w.folder, "sidecar.log"))
-			if strings.Count(string(text), "generation=2 ") == 0 || p.hasEnded() {
+			if strings.Count(string(text), `msg="configuration in force" sidecar=n1 generation=2 `) != i+1 || p.hasEnded() {
 				return couldNot, "the new configuration is not in force"
 			}
 		}
--- a/review/standin-2/stale.go
+++ b/review/standin-2/stale.go
@@ -96,7 +96,7 @@
 		}
 		w.log("platform: the new process says yes")
 		first.signal(syscall.SIGTERM)
-		time.Sleep(time.Until(began.Add(reportTakes - 250*time.Millisecond)))
+		time.Sleep(time.Until(began.Add(reportTakes - 200*time.Millisecond)))
 		send("GET", "report", "00000000000000b0", reportLeft)
 		time.Sleep(100 * time.Millisecond)
 		if first.hasEnded() {
