--- a/review/standin-2/kit.go
+++ b/review/standin-2/kit.go
@@ -195,7 +195,6 @@
 	answer func(conn net.Conn, a arrival) bool
 	// readRate is the number of bytes of a body that the endpoint reads in a second; 0 sets no limit.
 	readRate int
-	quiet    bool // whether requests are left out of the record
 
 	mu       sync.Mutex
 	arrivals []arrival // every request whose last byte has come
@@ -271,10 +270,8 @@
 		e.arrivals = append(e.arrivals, a)
 		e.working++
 		e.mu.Unlock()
-		if !e.quiet {
-			e.w.log("%s: request %s %s %s has come whole, body %d bytes, X-Time-Left-Ms %s; it runs", e.name, a.id,
-				a.method, a.path, a.bytes, a.timeLeft)
-		}
+		e.w.log("%s: request %s %s %s has come whole, body %d bytes, X-Time-Left-Ms %s; it runs", e.name, a.id,
+			a.method, a.path, a.bytes, a.timeLeft)
 		goOn := e.answer(conn, a)
 		e.mu.Lock()
 		e.working--
--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -110,6 +110,7 @@
 			text += "Content-Length: 0\r\n"
 		}
 		fmt.Fprintf(conn, "%s\r\n", text)
+		w.log("client %d: request %s, %s, X-Time-Left-Ms %d", c, id, class, timeLeftMS)
 		conn.SetReadDeadline(time.Now().Add(time.Duration(timeLeftMS+600) * time.Millisecond))
 		response, err := http.ReadResponse(in, nil)
 		if err != nil {
@@ -125,6 +126,7 @@
 			u.failed.Add(1)
 		}
 		io.Copy(io.Discard, response.Body)
+		w.log("client %d: request %s: %s", c, id, response.Status)
 		if response.Close {
 			conn.Close()
 			conn = nil
@@ -151,13 +153,12 @@
 func caseHeads(w *world) (int, string) {
 	const (
 		memoryMB, sockets = 64, 384
-		peers             = 150
+		peers             = 165
 		lasts             = 12 * time.Second
 	)
 	var hosts []host
 	for i := range 3 {
 		e := w.startEndpoint(fmt.Sprintf("s-%d", i+1), nil)
-		e.quiet = true
 		hosts = append(hosts, e.host(i))
 	}
 	d := w.startDiscovery("discovery", 41, hosts)
@@ -179,7 +180,7 @@
 	stop := time.Now().Add(lasts)
 	if w.trouble {
 		w.log("peers: %d peers connect; each sends %d bytes of a head and waits for the close", peers, len(text))
-		for range peers {
+		for i := range peers {
 			go func() {
 				for time.Now().Before(stop) && !p.hasEnded() {
 					conn, err := net.DialTimeout("tcp", spec.listen, time.Second)
@@ -187,9 +188,11 @@
 						return
 					}
 					connections.Add(1)
+					w.log("peer %d: connected, sends half a head", i)
 					conn.SetDeadline(time.Now().Add(5 * time.Second))
 					io.WriteString(conn, text)
-					io.Copy(io.Discard, conn)
+					n, err := io.Copy(io.Discard, conn)
+					w.log("peer %d: closed after an answer of %d bytes, %v", i, n, err)
 					conn.Close()
 				}
 			}()
