Answer readiness checks before anything is read as a client's request

Cause: the head of a readiness check passed no check of a client's request and became an empty request: class 0, deadline 0. The path was looked at again only once the body was complete; a body over 64 KiB was streamed to an endpoint before that.

Change: the handler decides at its beginning. GET or HEAD of the path without a body is answered and ends there; all else must be a client's request. Request.encode, which every attempt passes before its first byte, refuses a request without an id that is not a probe. OPTIONS *, which net/http answered with 200, gets 400.

--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -17,6 +17,13 @@
 // readyPath is the path on which the application asks whether it may send requests.
 const readyPath = "/health/ready"
 
+// isReadinessCheck reports whether a request is the application's readiness check, which the sidecar answers itself.
+// Any other request, also one for readyPath with another method or with a body, must be a client's request.
+func isReadinessCheck(in *http.Request) bool {
+	return in.URL.Path == readyPath && in.ContentLength == 0 &&
+		(in.Method == http.MethodGet || in.Method == http.MethodHead)
+}
+
 // exchange is the state of a client's request in its handler: the request as received, its parsed forms, and the writer
 // of its response. Only the handler's goroutine uses it.
 type exchange struct {
@@ -29,8 +36,18 @@
 	clientLeft <-chan struct{} // channel closed when the client disconnects and net/http cannot detect it; may be nil
 }
 
-// serveRequest reads a request and responds to it. A body that does not fit into the buffer is streamed.
+// serveRequest responds to whatever net/http has read as a request: to a readiness check, to a client's request, and
+// with an error to anything else.
 func (s *server) serveRequest(w http.ResponseWriter, in *http.Request) {
+	if isReadinessCheck(in) {
+		s.serveReadinessCheck(w, in)
+		return
+	}
+	s.serveClientRequest(w, in)
+}
+
+// serveClientRequest reads a client's request and responds to it. A body that does not fit into the buffer is streamed.
+func (s *server) serveClientRequest(w http.ResponseWriter, in *http.Request) {
 	x := exchange{w: w, in: in, conn: clientConn(in)}
 	age := system.LastDataAge(x.conn.Conn) // the request may have waited in the socket before this process read it
 	arrived := s.loop.clock.now() - age.Microseconds()
@@ -76,19 +93,11 @@
 // serveComplete responds to a request whose body has been read completely. arrived is the time of the request's arrival
 // by the loop's clock.
 func (s *server) serveComplete(x *exchange, arrived balancer.Micros) {
-	if x.request.Deadline > 0 { // 0 for readyPath; otherwise the client's time begins with the request's last byte
-		x.request.Deadline += max(0, s.loop.clock.now()-system.LastDataAge(x.conn.Conn).Microseconds()-arrived)
-	}
+	// The client's time begins with the request's last byte.
+	x.request.Deadline += max(0, s.loop.clock.now()-system.LastDataAge(x.conn.Conn).Microseconds()-arrived)
 	// If the read deadline stayed set, it would end the request's context while the response is still awaited.
 	clearReadDeadline(x.conn)
 	nothingFollows := x.conn.FinishRequestRead(x.in.ContentLength)
-	if x.in.URL.Path == readyPath {
-		if !nothingFollows {
-			x.w.Header().Set("Connection", "close")
-		}
-		s.serveReady(x.w)
-		return
-	}
 	if s.admission.isClosed() {
 		rejectTerminating(x.w)
 		return
@@ -98,9 +107,13 @@
 	s.forward(x)
 }
 
-// serveReady tells the application whether it may send requests: status 200 if so, 503 if not.
-func (s *server) serveReady(w http.ResponseWriter) {
-	if s.draining() {
+// serveReadinessCheck tells the application whether it may send requests: status 200 if so, 503 if not.
+func (s *server) serveReadinessCheck(w http.ResponseWriter, in *http.Request) {
+	conn := clientConn(in)
+	if !conn.BeginRequest() { // the connection was just closed to make room for a new one
+		panic(http.ErrAbortHandler)
+	}
+	if nothingFollows := conn.FinishRequestRead(in.ContentLength); !nothingFollows || s.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	if !s.acceptsRequests() {
@@ -108,17 +121,15 @@
 	}
 }
 
-// readHead checks a request's head and returns the balancer's description of the request, which is empty for readyPath.
+// readHead checks the head of a client's request and returns the balancer's description of the request.
 func (s *server) readHead(in *http.Request, conn *downstream.Conn, arrived balancer.Micros) (
 	req balancer.Request, err error) {
 	if conn.HasAmbiguousLength() {
 		// What follows the head may hide another request, so the error makes the caller close the connection.
 		return req, downstream.NewBadRequest("Content-Length beside another, or beside Transfer-Encoding")
 	}
-	if in.URL.Path != readyPath {
-		if req, err = s.parseRequest(in, arrived); err != nil {
-			return req, err
-		}
+	if req, err = s.parseRequest(in, arrived); err != nil {
+		return req, err
 	}
 	if in.ContentLength > httpmsg.MaxBodyBytes {
 		return req, downstream.ErrBodyTooLarge
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -88,8 +88,10 @@
 	l.clientSide = s
 	s.http = http.Server{
 		// The handler is not a ServeMux, which would redirect paths that endpoints must receive unchanged.
-		Handler:           http.HandlerFunc(s.serveRequest),
-		ReadHeaderTimeout: readTimeout, WriteTimeout: maxTimeLeft + writeTimeout, IdleTimeout: idleTimeout,
+		Handler: http.HandlerFunc(s.serveRequest),
+		// net/http would answer OPTIONS * with 200, although no client's request has that form.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            readTimeout, WriteTimeout: maxTimeLeft + writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxRequestHeadBytes,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateIdle {
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -20,6 +20,7 @@
 	errUploadStopped   = errors.New("the upload was stopped before its last bytes were written")
 	errClientGone      = errors.New("the client has disconnected, or its request has ended")
 	errTooLate         = errors.New("it is too late to send the request")
+	errNoClientRequest = errors.New("no client has sent this request: it has no " + idHeader)
 )
 
 // Reasons why an exchange fails after the request's first byte was written.
@@ -29,7 +30,8 @@
 )
 
 // localErrors are the errors that say nothing about the endpoint.
-var localErrors = []error{errEndpointClosed, errConnectionLimit, errUploadStopped, errClientGone, errTooLate}
+var localErrors = []error{errEndpointClosed, errConnectionLimit, errUploadStopped, errClientGone, errTooLate,
+	errNoClientRequest}
 
 // unsentError wraps the reason why the last byte of a request was never written, which proves that the request never
 // ran.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -12,8 +12,11 @@
 	"oakproxy/internal/httpmsg"
 )
 
-// timeLeftHeader is the header that tells an endpoint the client's remaining time in milliseconds.
-const timeLeftHeader = "X-Time-Left-Ms"
+// Headers of requests.
+const (
+	timeLeftHeader = "X-Time-Left-Ms"   // tells an endpoint the client's remaining time in milliseconds
+	idHeader       = "X-Correlation-Id" // identifies a request of a client; probes have none
+)
 
 // Request is a request that is sent to endpoints by any number of attempts. Only one attempt may send the upload.
 type Request struct {
@@ -33,8 +36,11 @@
 
 // encode returns the bytes of the request for an attempt. They include the body; if the request has an upload, they end
 // with the head. X-Time-Left-Ms is the time until the deadline of ctx or, if the request has an upload,
-// Upload.TimeLeft.
+// Upload.TimeLeft. Endpoints must get no request that no client has sent, so encode refuses one without an id.
 func (r *Request) encode(ctx context.Context) ([]byte, error) {
+	if !r.isProbe && r.Header.Get(idHeader) == "" {
+		return nil, errNoClientRequest
+	}
 	header := http.Header{}
 	httpmsg.CopyEndToEnd(header, r.Header)
 	length := int64(len(r.Body))
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// Guards against sending what no client has sent as its request, whichever way it came to the client: nothing is
+// written, and the endpoint is not blamed.
+func TestRequestWithoutIDIsNotSent(t *testing.T) {
+	e := sidecartest.NewEndpoint(t, sidecartest.AlwaysRespond(sidecartest.ServedResponse))
+	request := newGetRequest("/health/ready")
+	request.Header.Del(idHeader)
+	r := newTestClient(t, 1).Attempt(context.Background(), &Endpoint{Address: e.Address}, request, &Gate{})
+	if r.Status != balancer.NotSent || !errors.Is(r.Err, errNoClientRequest) {
+		t.Errorf("status %v, error %v, want %v and %v", r.Status, r.Err, balancer.NotSent, errNoClientRequest)
+	}
+	if n, _ := e.Counts(); n != 0 {
+		t.Errorf("the endpoint got %d requests, want none", n)
+	}
+}
+
 // If an endpoint reads a request too slowly, the request's last byte is not written, because the X-Time-Left-Ms that
 // was sent would be wrong.
 func TestSlowlyReadRequestIsNotCompleted(t *testing.T) {
