Reserve memory for heads, whole or half, before net/http gets them

Cause: only bodies had a budget in total. What net/http makes of a head, a map with an entry for each line or trailer name, was limited for each message alone, as were heads of responses and the buffers of streamed bodies.

A head of 36 KB took net/http 0.92 MB in 7,628 short lines and 0.04 MB in one line.

Change: budgets for bodies, heads and buffers in one place. Conn.Read, which every byte of a head passes, reserves an estimate before net/http gets it, and answers 503 if that fails; 8 KiB a head are free, so that usual clients are served beside large heads. What a request holds is released by the last of its handler and the loop; before, the body's part was returned while attempts went on. Trailers are dropped, quoted header values are cut, buffers get smaller when their budget is used up. The statistics have head_memory_kb, chunk_memory_kb and the close reason head_memory.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,6 +22,7 @@
 
 	"oakproxy/internal/downstream"
 	"oakproxy/internal/handover"
+	"oakproxy/internal/httpmsg"
 	"oakproxy/internal/operatorstate"
 )
 
@@ -33,6 +34,8 @@
 const CallTimeout = 2 * time.Second
 
 const (
+	// memoryBytes is the memory from which the budgets for calls are derived.
+	memoryBytes  = 2 << 20
 	maxHeadBytes = 4 << 10
 	maxBodyBytes = 4 << 10 // maximum size of the body of a call; the body is read and discarded
 )
@@ -108,7 +111,7 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	s.store.Refresh()
 	go s.followStore(ctx)
-	return s.http.Serve(&downstream.Listener{Listener: listener, Log: s.log,
+	return s.http.Serve(&downstream.Listener{Listener: listener, Log: s.log, Memory: httpmsg.NewMemoryBudgets(memoryBytes),
 		MaxConnections: MaxConnections, MaxUsed: MaxConnections})
 }
 
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"oakproxy/internal/httpmsg"
@@ -29,18 +30,20 @@
 type Body struct {
 	conn           *Conn
 	body           io.Reader
+	request        *http.Request // request whose body this is; nil in some tests
 	smallDeadline  time.Time     // no minimum rate before this time: smallRequestTimeout after the start of the request
 	remainingLag   time.Duration // how much the lag behind minBodyRate may still grow: maxBodyLag less the current lag
 	remainingBytes int64         // how many bytes may still be read: httpmsg.MaxBodyBytes less the bytes read so far
 }
 
-// NewBody returns a Body that reads from body, which is the body of the request that is being read from c.
-func NewBody(c *Conn, body io.Reader) *Body {
+// NewBody returns a Body that reads the body of a request, which is being read from c.
+func NewBody(c *Conn, request *http.Request) *Body {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return &Body{
 		conn:           c,
-		body:           body,
+		body:           request.Body,
+		request:        request,
 		smallDeadline:  c.requestStart.Add(smallRequestTimeout),
 		remainingLag:   maxBodyLag,
 		remainingBytes: httpmsg.MaxBodyBytes,
@@ -62,6 +65,9 @@
 	if b.remainingBytes -= int64(n); b.remainingBytes < 0 {
 		return 0, ErrBodyTooLarge
 	}
+	if err != nil && b.request != nil {
+		b.request.Trailer = nil // net/http has read the trailers with the end of the body; they are not forwarded
+	}
 	return n, err
 }
 
@@ -70,10 +76,10 @@
 // interrupt a read that is waiting. Discard is needed because the kernel resets a connection that is closed with unread
 // bytes, and the client could then get the reset instead of its response.
 func (b *Body) Discard(maxDuration time.Duration) {
-	chunk := httpmsg.ChunkBuffers.Get().(*[httpmsg.ChunkBytes]byte)
-	defer httpmsg.ChunkBuffers.Put(chunk)
+	chunk, release := b.conn.listener.Memory.Chunk()
+	defer release()
 	for end := time.Now().Add(maxDuration); time.Now().Before(end); {
-		if _, err := b.Read(chunk[:]); err != nil {
+		if _, err := b.Read(chunk); err != nil {
 			return
 		}
 	}
--- a/internal/downstream/close_reason.go
+++ b/internal/downstream/close_reason.go
@@ -17,6 +17,7 @@
 	closedEvicted                            // the connection was evicted to make room for a new one
 	closedConnectionLimit                    // the connection exceeded the connection limit
 	closedTruncated                          // the response was cut off, and the connection was reset
+	closedHeadMemory                         // there was no memory for the head of a request
 	closeReasonCount
 )
 
@@ -29,6 +30,7 @@
 	closedEvicted:         "evicted",
 	closedConnectionLimit: "connection_limit",
 	closedTruncated:       "truncated",
+	closedHeadMemory:      "head_memory",
 }
 
 // String returns the name of the reason in the log.
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -38,6 +38,9 @@
 
 	// The request that is being read, and its response.
 	head httpmsg.HeadScanner // scans what was read since the last complete request
+	// headMemory is what is reserved for the head that was read last, until TakeHeadMemory, EndRequest or Close.
+	headMemory int64
+	headTaken  bool // TakeHeadMemory was called for the head that was read last
 	// requestStart is the time at which the request began: the accept for the first request of the connection, and the
 	// first byte for each later request. Until that byte it is zero.
 	requestStart     time.Time
@@ -54,6 +57,7 @@
 	peerClosed    bool // the client has closed its side, or the connection is broken
 	relaying      bool // a relayed response is incomplete: see beginRelay
 	rejectPartial bool // Close answers a partly received request with rejectionResponse
+	headRefused   bool // there is no memory for the head that is being read: Close answers with rejectionResponse
 }
 
 // newConn returns the Conn for raw, a connection that was just accepted.
@@ -78,6 +82,9 @@
 	if n > 0 {
 		c.listener.recordActivity(c)
 	}
+	if !c.reserveHeadMemory() {
+		return 0, errHeadRefused
+	}
 	return n, err
 }
 
@@ -173,6 +180,9 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.listener.setState(c, stateWaiting)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseHeadMemory()
 }
 
 // HasAmbiguousLength reports whether the request's head states the length of its body more than once: in several
--- a/internal/downstream/conn_close.go
+++ b/internal/downstream/conn_close.go
@@ -14,7 +14,8 @@
 	// rejectionTimeout limits the writing of rejectionResponse.
 	rejectionTimeout = 20 * time.Millisecond
 	// rejectionResponse is the response to a client for which no handler runs: one whose connection exceeds the
-	// connection limit, or one whose request was only partly received at a termination.
+	// connection limit, one whose request was only partly received at a termination, or one for whose request head
+	// there is no memory.
 	rejectionResponse = "HTTP/1.1 503 Service Unavailable\r\n" +
 		"Connection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
@@ -46,6 +47,8 @@
 	switch {
 	case c.relaying:
 		return closedTruncated
+	case c.headRefused:
+		return closedHeadMemory
 	case c.peerClosed:
 		return closedByClient
 	case c.phase == phaseExpired:
@@ -61,8 +64,10 @@
 	c.mu.Lock()
 	evicted := c.phase == phaseEvicted // if so, evictOne has counted the close
 	closeNow := c.relaying || c.peerClosed || evicted
-	sendRejection := c.rejectPartial && c.head.Size > 0 && c.head.HeadSize == 0 && !c.responseWritten
+	partial := c.rejectPartial && c.head.Size > 0 && c.head.HeadSize == 0
+	sendRejection := (partial || c.headRefused) && !c.responseWritten
 	firstCall := c.setPhase(phaseClosed)
+	c.releaseHeadMemory()
 	c.mu.Unlock()
 	if !firstCall {
 		return
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"oakproxy/internal/httpmsg"
 	"oakproxy/internal/system"
 )
 
@@ -28,6 +29,8 @@
 	// Log receives at most one line about failed accepts per acceptErrorLogInterval. Nil means that they are not logged.
 	// Set it before the first Accept.
 	Log *slog.Logger
+	// Memory is the memory for what connections make the sidecar keep. Set it before the first Accept.
+	Memory *httpmsg.MemoryBudgets
 	// MaxConnections is the limit on open connections. Once Accept was called, only SetLimits changes it, with mu held.
 	MaxConnections int
 	// MaxUsed is the limit on open connections that have carried a request: see OverUsedLimit. Once Accept was called,
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"oakproxy/internal/httpmsg"
 	"oakproxy/internal/sidecartest"
 )
 
@@ -56,7 +57,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &testListener{t, &Listener{Listener: listener, MaxConnections: maxConnections}}
+	l := &testListener{t, &Listener{Listener: listener, Memory: httpmsg.NewMemoryBudgets(32 << 20),
+		MaxConnections: maxConnections}}
 	t.Cleanup(func() { l.Close() })
 	return l
 }
--- a/internal/downstream/relay.go
+++ b/internal/downstream/relay.go
@@ -23,13 +23,13 @@
 	c.limitSendBuffer(sendBufferBytes)
 	writeBeginning()
 	control := http.NewResponseController(w)
-	chunk := httpmsg.ChunkBuffers.Get().(*[httpmsg.ChunkBytes]byte)
-	defer httpmsg.ChunkBuffers.Put(chunk)
+	chunk, release := c.listener.Memory.Chunk()
+	defer release()
 	if err := control.Flush(); err != nil {
 		return fmt.Errorf("flush the response head: %w", err)
 	}
 	for {
-		n, readErr := rest.Read(chunk[:])
+		n, readErr := rest.Read(chunk)
 		if n > 0 {
 			c.SetWriteDeadline(time.Now().Add(httpmsg.ChunkTimeout))
 			if err := writeAndFlush(w, control, chunk[:n]); err != nil {
--- a/internal/httpmsg/budget_test.go
+++ b/internal/httpmsg/budget_test.go
@@ -4,7 +4,8 @@
 
 // A reservation that exceeds the limit changes nothing, even after the limit was lowered below what is reserved.
 func TestMemoryBudgetAdmitsUpToItsLimit(t *testing.T) {
-	b := NewMemoryBudget(10)
+	b := &MemoryBudget{}
+	b.Limit.Store(10)
 	for _, step := range []struct {
 		limit, reserve int64
 		want           bool
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -155,9 +155,9 @@
 		{"no memory", sidecartest.PayHead + "X-Correlation-Id: 3\r\n",
 			httpmsg.MaxBufferedBytes, http.StatusServiceUnavailable, true},
 	} {
-		reservedBefore := h.loop.upstream.BodyMemory.Used.Load()
+		reservedBefore := h.loop.upstream.Memory.Bodies.Used.Load()
 		if c.noMemory {
-			h.loop.upstream.BodyMemory.Used.Add(int64(h.loop.cfg.Limits.MemoryMB) << 20)
+			h.loop.upstream.Memory.Bodies.Used.Add(int64(h.loop.cfg.Limits.MemoryMB) << 20)
 		}
 		conn := h.dial()
 		in := bufio.NewReader(conn)
@@ -178,9 +178,9 @@
 			t.Errorf("%s: reading to the end of the connection: %v", c.name, err)
 		}
 		if c.noMemory {
-			h.loop.upstream.BodyMemory.Used.Add(-int64(h.loop.cfg.Limits.MemoryMB) << 20)
+			h.loop.upstream.Memory.Bodies.Used.Add(-int64(h.loop.cfg.Limits.MemoryMB) << 20)
 		}
-		if reserved := h.loop.upstream.BodyMemory.Used.Load(); reserved != reservedBefore {
+		if reserved := h.loop.upstream.Memory.Bodies.Used.Load(); reserved != reservedBefore {
 			t.Errorf("%s: got %d bytes of body memory still reserved, want none", c.name, reserved-reservedBefore)
 		}
 	}
@@ -318,12 +318,12 @@
 func TestBodyMemoryIsLimited(t *testing.T) {
 	e := newServingEndpoint(t)
 	h := start(t, nil, ready("s-1", e.Address))
-	h.loop.upstream.BodyMemory.Used.Add(int64(h.loop.cfg.Limits.MemoryMB) << 20 / bodyMemoryDivisor)
+	h.loop.upstream.Memory.Bodies.Used.Add(h.loop.upstream.Memory.Bodies.Limit.Load())
 	if got := h.send(h.request("pay", "x", 3*time.Second)); got.code != http.StatusServiceUnavailable ||
 		got.header.Get("Retry-After") == "" {
 		t.Errorf("body memory used up: got %+v, want 503 with Retry-After", got)
 	}
-	h.loop.upstream.BodyMemory.Used.Store(0)
+	h.loop.upstream.Memory.Bodies.Used.Store(0)
 	if got := h.send(h.request("pay", "x", 3*time.Second)); got.code != http.StatusOK {
 		t.Errorf("body memory free: got %+v, want 200", got)
 	}
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -38,7 +38,8 @@
 		defer upload.Finish()
 	}
 	r := &request{response: make(chan finalResponse, 1), message: x.message,
-		clientClosed: x.conn.ClientClosed, times: x.times}
+		memory: x.memory, clientClosed: x.conn.ClientClosed, times: x.times}
+	r.memory.Retain()
 	s.admit(r, x.request)
 	response, end := s.awaitResponse(x, r)
 	switch end {
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -213,7 +213,7 @@
 // awaitReleasedMemory waits until no memory is reserved for bodies.
 func (h *harness) awaitReleasedMemory() {
 	h.t.Helper()
-	h.await("the body memory to be released", func() bool { return h.loop.upstream.BodyMemory.Used.Load() == 0 })
+	h.await("the body memory to be released", func() bool { return h.loop.upstream.Memory.Bodies.Used.Load() == 0 })
 }
 
 // awaitClientGone waits until the balancer is notified that a client disconnected.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -88,7 +88,8 @@
 // newLoop returns a loop that ends when ctx ends. The loop does nothing until run is called.
 func newLoop(ctx context.Context, cfg *config.Config, log *slog.Logger) (*loop, error) {
 	times := cfg.Host.Time.WithDefaults()
-	client := upstream.NewClient(cfg, maxConnections(cfg), httpmsg.NewMemoryBudget(bodyMemoryLimit(cfg)))
+	memory := httpmsg.NewMemoryBudgets(int64(cfg.Limits.MemoryMB) << 20)
+	client := upstream.NewClient(cfg, maxConnections(cfg), memory)
 	l := &loop{
 		log: log, clock: newClock(times.Wall), operatorClock: times, ctx: ctx,
 		upstream:  client,
@@ -167,7 +168,8 @@
 
 // heldResources returns what is currently held for requests in progress.
 func (l *loop) heldResources() heldResources {
-	held := heldResources{tableEntries: len(l.requests.byID), bodyMemory: l.upstream.BodyMemory.Used.Load(),
+	held := heldResources{tableEntries: len(l.requests.byID), bodyMemory: l.upstream.Memory.Bodies.Used.Load(),
+		headMemory: l.upstream.Memory.Heads.Used.Load(), chunkMemory: l.upstream.Memory.Chunks.Used.Load(),
 		heap: heapBytes(), goroutines: runtime.NumGoroutine()}
 	if l.clientSide != nil {
 		held.openRequests = l.clientSide.openRequests()
--- a/internal/sidecar/parse.go
+++ b/internal/sidecar/parse.go
@@ -42,7 +42,7 @@
 	}
 	timeLeftMS, err := strconv.ParseUint(h.Get("X-Time-Left-Ms"), 10, 63)
 	if err != nil {
-		return req, downstream.NewBadRequest("X-Time-Left-Ms: %q is not a whole number of milliseconds",
+		return req, downstream.NewBadRequest("X-Time-Left-Ms: %.64q is not a whole number of milliseconds",
 			h.Get("X-Time-Left-Ms"))
 	}
 	timeLeftMS = min(timeLeftMS, uint64(maxTimeLeft.Milliseconds()))
@@ -56,10 +56,10 @@
 	name := in.Header.Get("X-Service-Class")
 	class, ok := inForce.Classes[name]
 	if !ok {
-		return downstream.NewBadRequest("X-Service-Class: %q is not a known class", name)
+		return downstream.NewBadRequest("X-Service-Class: %.64q is not a known class", name)
 	}
 	if firstSegment, _, _ := strings.Cut(strings.TrimPrefix(in.URL.Path, "/"), "/"); firstSegment != name {
-		return downstream.NewBadRequest("the path is not of X-Service-Class %q", name)
+		return downstream.NewBadRequest("the path is not of X-Service-Class %.64q", name)
 	}
 	req.Class = class
 	wantMethod, hasKey := http.MethodPost, in.Header.Get("Idempotency-Key") != ""
@@ -85,7 +85,7 @@
 	if len(inForce.Tenants) > 0 {
 		var ok bool
 		if req.Tenant, ok = inForce.Tenants[h.Get("X-Account")]; !ok {
-			return downstream.NewBadRequest("X-Account: %q is not a known tenant", h.Get("X-Account"))
+			return downstream.NewBadRequest("X-Account: %.64q is not a known tenant", h.Get("X-Account"))
 		}
 	}
 	if key := h.Get("X-Session-Key"); key != "" {
@@ -94,7 +94,7 @@
 	if hint := h.Get("X-Weight-Hint"); hint != "" {
 		workMicros, err := strconv.ParseUint(hint, 10, 63)
 		if err != nil {
-			return downstream.NewBadRequest("X-Weight-Hint: %q is not a whole number of microseconds", hint)
+			return downstream.NewBadRequest("X-Weight-Hint: %.64q is not a whole number of microseconds", hint)
 		}
 		req.WorkHint, req.HasWorkHint = int64(workMicros), true
 	}
@@ -103,7 +103,7 @@
 		req.ClientRetry = true
 	case "", "0":
 	default:
-		return downstream.NewBadRequest("X-Repeat: %q is neither 0 nor 1", h.Get("X-Repeat"))
+		return downstream.NewBadRequest("X-Repeat: %.64q is neither 0 nor 1", h.Get("X-Repeat"))
 	}
 	return nil
 }
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -33,7 +33,8 @@
 	request    balancer.Request
 	message    *upstream.Request
 	times      stages.RequestTimes
-	clientLeft <-chan struct{} // channel closed when the client disconnects and net/http cannot detect it; may be nil
+	memory     *httpmsg.SharedMemory // memory of the head and the buffered body
+	clientLeft <-chan struct{}       // channel closed when the client disconnects and net/http cannot detect it; may be nil
 }
 
 // serveRequest responds to whatever net/http has read as a request: to a readiness check, to a client's request, and
@@ -48,6 +49,7 @@
 
 // serveClientRequest reads a client's request and responds to it. A body that does not fit into the buffer is streamed.
 func (s *server) serveClientRequest(w http.ResponseWriter, in *http.Request) {
+	in.Trailer = nil // trailers are not forwarded
 	x := exchange{w: w, in: in, conn: clientConn(in)}
 	age := system.LastDataAge(x.conn.Conn) // the request may have waited in the socket before this process read it
 	arrived := s.loop.clock.now() - age.Microseconds()
@@ -61,12 +63,18 @@
 	if in.ContentLength >= 0 {
 		reserved = min(reserved, in.ContentLength)
 	}
-	if !s.loop.upstream.BodyMemory.Reserve(reserved) {
+	budgets := s.loop.upstream.Memory
+	if !budgets.Bodies.Reserve(reserved) {
 		rejectUnread(w, in, finalResponse{code: http.StatusServiceUnavailable, retryAfter: busyRetryAfter.Microseconds()})
 		return
 	}
-	defer s.loop.upstream.BodyMemory.Release(reserved)
-	stream := downstream.NewBody(x.conn, in.Body)
+	headMemory := x.conn.TakeHeadMemory()
+	x.memory = httpmsg.NewSharedMemory(func() {
+		budgets.Heads.Release(headMemory)
+		budgets.Bodies.Release(reserved)
+	})
+	defer x.memory.Release()
+	stream := downstream.NewBody(x.conn, in)
 	body, complete, err := readBody(stream, reserved, in.ContentLength)
 	switch {
 	case (err != nil || !complete) && s.admission.isClosed():
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"oakproxy/balancer"
+	"oakproxy/internal/httpmsg"
 	"oakproxy/internal/stages"
 	"oakproxy/internal/upstream"
 )
@@ -51,8 +52,11 @@
 
 // removeIfDone removes a request from the table if it is finished and has no attempt in flight.
 func (t *requestTable) removeIfDone(r *request) {
-	if r.finished && r.inFlight == 0 {
+	if _, found := t.byID[r.id]; found && r.finished && r.inFlight == 0 {
 		delete(t.byID, r.id)
+		if r.memory != nil {
+			r.memory.Release()
+		}
 	}
 }
 
@@ -61,10 +65,11 @@
 // that uses the field times.
 type request struct {
 	id           uint64
-	message      *upstream.Request  // the request to forward
-	deadline     balancer.Micros    // time by which the final response is due
-	response     chan finalResponse // channel for the final response, with room for it; sent to at most once
-	finished     bool               // whether a final response was chosen, or the client is gone; see requestTable.finish
+	message      *upstream.Request     // the request to forward
+	memory       *httpmsg.SharedMemory // memory of message, of which the table is an owner; nil in some tests
+	deadline     balancer.Micros       // time by which the final response is due
+	response     chan finalResponse    // channel for the final response, with room for it; sent to at most once
+	finished     bool                  // whether a final response was chosen, or the client is gone; see requestTable.finish
 	attempts     []attempt
 	inFlight     int         // number of attempts without an outcome; see requestTable.beginAttempt
 	clientClosed func() bool // function that reports whether the client has closed its connection
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -177,7 +177,7 @@
 				t.Errorf("the loop's table has %d requests; the balancer has %d open, %d in its ledger, %d waiting and "+
 					"%d attempts in flight; want none", n, stats.Open, stats.Held, stats.Waiting, stats.InFlight)
 			}
-			if used := s.upstream.BodyMemory.Used.Load(); used != 0 {
+			if used := s.upstream.Memory.Bodies.Used.Load(); used != 0 {
 				t.Errorf("%d bytes are reserved for bodies, want 0", used)
 			}
 		})
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -67,7 +67,7 @@
 	if http.NewResponseController(w).Flush() != nil {
 		return // the client is gone
 	}
-	downstream.NewBody(clientConn(in), in.Body).Discard(downstream.MaxLinger)
+	downstream.NewBody(clientConn(in), in).Discard(downstream.MaxLinger)
 }
 
 // rejectInvalid responds to a request that violates the protocol and ends its connection, because nothing else from
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -47,9 +47,8 @@
 	// request, each response ends its connection.
 	usedConnectionsDivisor = 6
 
-	bodyMemoryDivisor = 8           // 1/bodyMemoryDivisor of the memory is for the bodies of requests and responses
-	busyRetryAfter    = time.Second // Retry-After of a request that is rejected because the memory for bodies is used up
-	minConnections    = 12          // lowest connection limit of each process, however few descriptors there are
+	busyRetryAfter = time.Second // Retry-After of a request that is rejected because the memory for bodies is used up
+	minConnections = 12          // lowest connection limit of each process, however few descriptors there are
 )
 
 // server accepts the application's requests. Its handlers run in the goroutines of net/http, one for each connection,
@@ -83,7 +82,7 @@
 func newServer(l *loop) *server {
 	s := &server{loop: l, log: l.log, processCount: 1, admission: newRequestAdmission(),
 		drainPeriod: defaultDrainPeriod,
-		clients: &downstream.Listener{Log: l.log, MaxConnections: maxConnections(l.cfg),
+		clients: &downstream.Listener{Log: l.log, Memory: l.upstream.Memory, MaxConnections: maxConnections(l.cfg),
 			MaxUsed: l.cfg.Limits.Sockets / usedConnectionsDivisor}}
 	l.clientSide = s
 	s.http = http.Server{
@@ -136,8 +135,3 @@
 // maxConnections returns the limit of clients' connections. The limit of connections to endpoints is the same, because
 // a request usually has only one attempt in flight.
 func maxConnections(cfg *config.Config) int { return (cfg.Limits.Sockets - reservedSockets) / 2 }
-
-// bodyMemoryLimit returns how many bytes a configuration grants to the bodies of requests and responses.
-func bodyMemoryLimit(cfg *config.Config) int64 {
-	return int64(cfg.Limits.MemoryMB) << 20 / bodyMemoryDivisor
-}
--- a/internal/sidecar/slot.go
+++ b/internal/sidecar/slot.go
@@ -100,8 +100,9 @@
 	connections := max(minConnections, (cfg.Limits.Sockets/processCount-reservedSockets)/2)
 	s.clients.SetLimits(connections, cfg.Limits.Sockets/usedConnectionsDivisor/processCount)
 	s.loop.upstream.SetMaxConnections(connections)
-	s.loop.upstream.BodyMemory.Limit.Store(int64(cfg.Limits.MemoryMB) << 20 / bodyMemoryDivisor / int64(processCount))
+	memory := int64(cfg.Limits.MemoryMB) << 20 / int64(processCount)
+	s.loop.upstream.Memory.SetMemory(memory)
 	if limit := cfg.Host.LimitMemory; limit != nil {
-		limit(int64(cfg.Limits.MemoryMB) << 20 / 10 * heapTenths / int64(processCount))
+		limit(memory / 10 * heapTenths)
 	}
 }
--- a/internal/sidecar/slot_test.go
+++ b/internal/sidecar/slot_test.go
@@ -12,7 +12,7 @@
 	e := newServingEndpoint(t)
 	h := start(t, nil, ready("s-1", e.Address))
 	h.await("other connections to end", func() bool { return h.server.clients.Count() == 0 })
-	connections, bodyMemory := h.server.clients.MaxConnections, h.loop.upstream.BodyMemory.Limit.Load()
+	connections, bodyMemory := h.server.clients.MaxConnections, h.loop.upstream.Memory.Bodies.Limit.Load()
 	dir := t.TempDir()
 	ownSlot, err := handover.AcquireSlot(dir)
 	if err != nil {
@@ -31,7 +31,7 @@
 	halfConnections := (h.loop.cfg.Limits.Sockets/2 - reservedSockets) / 2
 	h.await("connections beyond the share to end", func() bool { return h.server.clients.Count() == halfConnections })
 	h.await("the limit of body memory to be halved", func() bool {
-		return h.loop.upstream.BodyMemory.Limit.Load() == bodyMemory/2
+		return h.loop.upstream.Memory.Bodies.Limit.Load() == bodyMemory/2
 	})
 	if !h.server.hasPeer() || h.server.hasReadyPeer() {
 		t.Error("got no peer or a ready one, want one that is not ready")
@@ -45,6 +45,6 @@
 	otherSlot.Release()
 	h.await("the full limits to apply again", func() bool {
 		limit, _ := h.server.clients.Limits()
-		return limit == connections && h.loop.upstream.BodyMemory.Limit.Load() == bodyMemory
+		return limit == connections && h.loop.upstream.Memory.Bodies.Limit.Load() == bodyMemory
 	})
 }
--- a/internal/sidecar/statistics.go
+++ b/internal/sidecar/statistics.go
@@ -37,6 +37,8 @@
 	tableEntries int   // entries of the loop's request table
 	openRequests int   // requests whose handlers have not returned
 	bodyMemory   int64 // bytes reserved for buffered bodies
+	headMemory   int64 // bytes reserved for heads
+	chunkMemory  int64 // bytes reserved for the buffers of bodies that are forwarded as they arrive
 	heap         int64 // bytes of heap objects, including garbage that has not been collected yet
 	goroutines   int
 }
@@ -77,7 +79,8 @@
 			"generation", g.inForce.Generation, "hash", g.inForce.FileHash,
 			"reloads", g.inForce.Generation-config.FirstGeneration, "reloads_rejected", g.rejectedReloads,
 			"requests_held", g.held.tableEntries, "requests_open", g.held.openRequests,
-			"body_memory_kb", g.held.bodyMemory>>10, "heap_kb", g.held.heap>>10, "goroutines", g.held.goroutines)
+			"body_memory_kb", g.held.bodyMemory>>10, "head_memory_kb", g.held.headMemory>>10,
+			"chunk_memory_kb", g.held.chunkMemory>>10, "heap_kb", g.held.heap>>10, "goroutines", g.held.goroutines)
 	}
 	l.last = *c
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -29,8 +29,8 @@
 
 	// CurrentFormat is the format of load reports in the current configuration.
 	CurrentFormat atomic.Pointer[ReportFormat]
-	// BodyMemory is the memory budget for the bodies of responses.
-	BodyMemory *httpmsg.MemoryBudget
+	// Memory is the memory for responses, and for the buffers of streamed bodies.
+	Memory *httpmsg.MemoryBudgets
 }
 
 // Result is the outcome of an attempt or a probe.
@@ -68,10 +68,9 @@
 	}
 }
 
-// NewClient returns a client that has at most maxConnections open connections. It reserves the memory for response
-// bodies from the budget bodies.
-func NewClient(cfg *config.Config, maxConnections int, bodies *httpmsg.MemoryBudget) *Client {
-	u := &Client{pool: newPool(maxConnections), BodyMemory: bodies}
+// NewClient returns a client that has at most maxConnections open connections and reserves memory from the budgets.
+func NewClient(cfg *config.Config, maxConnections int, memory *httpmsg.MemoryBudgets) *Client {
+	u := &Client{pool: newPool(maxConnections), Memory: memory}
 	u.Configure(cfg)
 	return u
 }
@@ -107,6 +106,9 @@
 	response := exchanged.response
 	r.Times.Written = exchanged.writtenAt
 	r.Load, r.ReportFormat = u.ParseLoadReport(response.Header.Get("X-Backend-Load"))
+	if response.StatusCode != http.StatusOK {
+		defer exchanged.release()
+	}
 	switch code := response.StatusCode; {
 	case code == http.StatusOK:
 		r.Status, r.Header, r.Body = balancer.OK, response.Header, exchanged.body
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := NewClient(cfg, maxOpen, httpmsg.NewMemoryBudget(24<<20))
+	u := NewClient(cfg, maxOpen, httpmsg.NewMemoryBudgets(192<<20))
 	u.ReuseDelay = 0 // most tests reuse a connection immediately
 	return u
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,7 +13,7 @@
 	response  *http.Response
 	body      []byte      // the complete body or, if stream is not nil, its buffered beginning
 	stream    *BodyStream // the remainder of the body; nil if body is complete
-	release   func()      // releases the memory reserved for body; nil if none was reserved
+	release   func()      // releases the memory reserved for the head and body
 	writtenAt time.Time   // when the whole request or, if it has an upload, only its head was written
 	reusable  bool        // whether the connection may carry another request after the response
 }
@@ -105,9 +105,7 @@
 			c.ctx, c.stallTimeout = context.Background(), streamStallTimeout
 			return nil
 		}
-		if result.release != nil {
-			result.release()
-		}
+		result.release()
 		err = ctx.Err()
 	}
 	if reusable {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -31,20 +31,27 @@
 	errBodyTooLarge = fmt.Errorf("the response body is too large; the limit of a forwarded body is %d bytes",
 		httpmsg.MaxBodyBytes)
 	errAmbiguousFraming = errors.New("the response does not define the end of its body in exactly one way")
+	errNoHeadMemory     = errors.New("there is no memory for the head of the response")
 	errTooManyInterim   = fmt.Errorf("no final response among the first %d responses", maxResponsesPerRequest)
 )
 
 // readResponse reads one response. The body of a 200 response is buffered if it is small and the memory budget allows
 // it. Otherwise the result has a stream for the remainder.
-func (u *Client) readResponse(c *conn, method string) (*exchangeResult, error) {
-	response, head, err := c.readHead(method)
+func (u *Client) readResponse(c *conn, method string) (_ *exchangeResult, err error) {
+	response, head, err := c.readHead(method, &u.Memory.Heads)
 	if err != nil {
 		return nil, err
 	}
+	result := &exchangeResult{response: response,
+		release: func() { u.Memory.Heads.Release(httpmsg.HeadReservation(&head)) }}
+	defer func() {
+		if err != nil {
+			result.release()
+		}
+	}()
 	if response.ContentLength > httpmsg.MaxBodyBytes {
 		return nil, errBodyTooLarge
 	}
-	result := &exchangeResult{response: response}
 	if response.StatusCode != http.StatusOK {
 		err = discardBody(response)
 	} else if !hasUnambiguousFraming(response, head) {
@@ -63,8 +70,10 @@
 	return result, nil
 }
 
-// readHead reads the head of the next final response. It skips the interim responses before the final one.
-func (c *conn) readHead(method string) (response *http.Response, head httpmsg.HeadScanner, err error) {
+// readHead reads the head of the next final response. It skips the interim responses before the final one. It reserves
+// the memory of the head, which the caller must release unless readHead returns an error.
+func (c *conn) readHead(method string, memory *httpmsg.MemoryBudget) (
+	response *http.Response, head httpmsg.HeadScanner, err error) {
 	for range maxResponsesPerRequest {
 		c.stallTimeout = 0
 		if _, err = c.reader.Peek(1); err != nil {
@@ -76,12 +85,19 @@
 		if head, err = c.peekHead(); err != nil {
 			return nil, head, err
 		}
+		reserved := httpmsg.HeadReservation(&head)
+		if !memory.Reserve(reserved) {
+			return nil, head, errNoHeadMemory
+		}
 		if response, err = http.ReadResponse(c.reader, &http.Request{Method: method}); err != nil {
+			memory.Release(reserved)
 			return nil, head, err
 		}
+		response.Trailer = nil // trailers are not forwarded
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, head, nil
 		}
+		memory.Release(reserved)
 		c.SetReadDeadline(time.Time{})
 	}
 	return nil, head, errTooManyInterim
@@ -135,7 +151,7 @@
 	if size < 0 {
 		size = httpmsg.MaxBufferedBytes
 	}
-	if size > httpmsg.MaxBufferedBytes || !u.BodyMemory.Reserve(size) {
+	if size > httpmsg.MaxBufferedBytes || !u.Memory.Bodies.Reserve(size) {
 		// Wait for the body's first byte: if the endpoint fails before that byte, the request may still be retried.
 		if _, err := c.reader.Peek(1); err != nil {
 			return err
@@ -143,7 +159,11 @@
 		result.stream = newBodyStream(u.pool, c, result)
 		return nil
 	}
-	result.release = func() { u.BodyMemory.Release(size) }
+	releaseHead := result.release
+	result.release = func() {
+		releaseHead()
+		u.Memory.Bodies.Release(size)
+	}
 	start := time.Now()
 	body := make([]byte, 0, size)
 	for {
@@ -154,7 +174,6 @@
 		case err == io.EOF, err == nil && int64(len(body)) == length:
 			return nil
 		case err != nil:
-			result.release()
 			return err
 		case length < 0 && (int64(len(body)) == size || time.Since(start) >= maxBufferingTime):
 			result.stream = newBodyStream(u.pool, c, result)
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -64,7 +64,7 @@
 func TestResponseBeyondMemoryBudgetIsStreamed(t *testing.T) {
 	e := sidecartest.NewEndpoint(t, sidecartest.AlwaysRespond(sidecartest.ServedResponse))
 	u := newTestClient(t, 4)
-	u.BodyMemory.Used.Store(u.BodyMemory.Limit.Load())
+	u.Memory.Bodies.Used.Store(u.Memory.Bodies.Limit.Load())
 	r := getOnce(t.Context(), u, &Endpoint{Address: e.Address}, "/")
 	if r.Status != balancer.OK || len(r.Body) != 0 || r.Stream == nil {
 		t.Fatalf("status %v, %d bytes buffered, has a stream: %v; want OK, 0 bytes, true", r.Status, len(r.Body),
@@ -74,9 +74,9 @@
 		t.Errorf("the stream returned %q, error %v; want %q, no error", got, err, "done")
 	}
 	r.close()
-	if u.BodyMemory.Used.Load() != u.BodyMemory.Limit.Load() || u.open != 1 || len(u.idle) != 1 {
+	if u.Memory.Bodies.Used.Load() != u.Memory.Bodies.Limit.Load() || u.open != 1 || len(u.idle) != 1 {
 		t.Errorf("%d of %d bytes reserved, want all; %d connections open, want 1; %d endpoints with idle connections, want 1",
-			u.BodyMemory.Used.Load(), u.BodyMemory.Limit.Load(), u.open, len(u.idle))
+			u.Memory.Bodies.Used.Load(), u.Memory.Bodies.Limit.Load(), u.open, len(u.idle))
 	}
 }
 
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -145,7 +145,9 @@
 func (u *Client) sendUpload(ctx context.Context, c *conn, request *Request) error {
 	writeDone := make(chan error, 1)
 	go func() {
-		err := request.writeUpload(c)
+		chunk, release := u.Memory.Chunk()
+		defer release()
+		err := request.writeUpload(c, chunk)
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek below
 		writeDone <- err
 	}()
@@ -196,20 +198,19 @@
 	return w.conn.Conn.Write(p)
 }
 
-// writeUpload writes the body to the endpoint: first the buffered beginning, then the upload as it arrives.
-func (r *Request) writeUpload(c *conn) error {
-	chunk := httpmsg.ChunkBuffers.Get().(*[httpmsg.ChunkBytes]byte)
-	defer httpmsg.ChunkBuffers.Put(chunk)
+// writeUpload writes the body to the endpoint: first the buffered beginning, then the upload as it arrives, through a
+// buffer.
+func (r *Request) writeUpload(c *conn, buffer []byte) error {
 	to := &uploadWriter{conn: c, upload: r.Upload, remaining: r.Upload.Length}
 	if r.Upload.Length >= 0 {
-		err := r.copyBody(to, chunk[:])
+		err := r.copyBody(to, buffer)
 		if err == nil && to.remaining > 0 {
 			err = &clientError{io.ErrUnexpectedEOF}
 		}
 		return err
 	}
 	chunks := httputil.NewChunkedWriter(to)
-	if err := r.copyBody(chunks, chunk[:]); err != nil {
+	if err := r.copyBody(chunks, buffer); err != nil {
 		return err
 	}
 	if err := r.Upload.beginLastWrite(); err != nil {
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -44,7 +44,7 @@
 				upload := &Upload{Length: length, TimeLeft: timeLeft, Body: arrivedBody{age: age}}
 				request := &Request{Body: make([]byte, httpmsg.MaxBufferedBytes), Upload: upload}
 				earliest := time.Now()
-				err := request.writeUpload(&conn{Conn: hung, ctx: context.Background()})
+				err := request.writeUpload(&conn{Conn: hung, ctx: context.Background()}, make([]byte, httpmsg.ChunkBytes))
 				latest := time.Now()
 				if !errors.Is(err, os.ErrDeadlineExceeded) {
 					t.Fatalf("writeUpload returned %v, want %v", err, os.ErrDeadlineExceeded)
