Keep a connection expiring when net/http sets a read deadline of its own

TestProcessesShareLimits failed once, in a run beside the tests of four other packages: connections beyond the share of a process stayed open for its whole 20 s. Alone it passed 10 of 10 times.

Cause, by reading and by the new test: SetLimits wakes the reads of the connections that it selects, once. If net/http begins to read a connection only then, its own deadline replaces the one in the past, and the connection stays until it is idle for 2.1 s. SetReadDeadline now only records the deadline while the connection expires; it is set if the expiry is cancelled.

The new test fails before (the read waits for 20 s) and passes now.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -120,12 +120,15 @@
 	return c.Conn.Write(p)
 }
 
-// SetReadDeadline sets the read deadline, as net.Conn does. It also records the deadline, to set it again if the
-// expiry of the idle connection is cancelled.
+// SetReadDeadline sets the read deadline, as net.Conn does. It also records the deadline. While the idle connection
+// expires, the deadline is set only if the expiry is cancelled: it would replace that of the expiry.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
+	if c.phase == phaseExpiring {
+		return nil
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/downstream/conn_close.go
+++ b/internal/downstream/conn_close.go
@@ -145,9 +145,8 @@
 }
 
 // expireIfIdle starts the expiry of the connection if nothing was read from it since the last complete request. It
-// wakes the waiting read, which calls cancelExpiry to decide whether the connection is closed. A repeated call sets the
-// deadline in the past again: if net/http has replaced it by a deadline of its own since the last call, the read would
-// otherwise continue to wait. The caller holds listener.mu.
+// wakes the waiting read, which calls cancelExpiry to decide whether the connection is closed. The caller holds
+// listener.mu.
 func (c *Conn) expireIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/downstream/conn_test.go
+++ b/internal/downstream/conn_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// Guards against a lowered limit that closes too few connections: net/http may begin to read a connection, and set its
+// own deadline, only after the connection was selected.
+func TestLowerLimitExpiresConnectionThatIsNotReadYet(t *testing.T) {
+	l := newTestListener(t, 1)
+	_, c := l.connect()
+	l.SetLimits(0, 0)
+	c.SetReadDeadline(time.Time{})
+	readErr := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		readErr <- err
+	}()
+	select {
+	case err := <-readErr:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("Read returned %v, want %v", err, os.ErrDeadlineExceeded)
+		}
+	case <-time.After(sidecartest.WaitTimeout):
+		t.Error("Read still waits, want the end of the connection's expiry")
+	}
+}
+
 // A request that arrives during the expiry of its idle connection is read. Without a request, the connection expires.
 func TestRequestThatCrossesExpiryIsRead(t *testing.T) {
 	l := newTestListener(t, 4)
