Give all waits of an upload one deadline, from the earliest time of its last byte

Cause: the sidecar took the arrival of the bytes that it had read last for the time of the client's last byte. While an endpoint is slow the body waits in sockets, and bytes arrive whenever a read makes room, so the time began anew with each piece. Waits for connections had no limit but 10 minutes.

Change: downstream.Conn estimates the earliest time at which the client can have written its last byte. The estimate moves only if nothing is left to read, or if more is missing than the client's socket holds. One deadline follows from it for pieces, for the response, and in the handler for whatever else the request waits for. The endpoint is told the client's time less a part for forwarding. uploads_overdue counts the uploads that end so.

--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"oakproxy/internal/httpmsg"
-	"oakproxy/internal/system"
 )
 
 const (
@@ -85,9 +84,11 @@
 	}
 }
 
-// LastDataAge returns how long ago the latest bytes of the client arrived at this machine, as reported by the kernel.
-// It returns 0 if that is not known.
-func (b *Body) LastDataAge() time.Duration { return system.LastDataAge(b.conn.Conn) }
+// EarliestLastByte returns the earliest time at which the client can have written the last byte of the body, and whether
+// that byte is known to have arrived. Conn.TrackLastByte must have been called.
+func (b *Body) EarliestLastByte() (earliest time.Time, arrived bool) {
+	return b.conn.earliestLastByte()
+}
 
 // ClientClosed reports whether the client has closed its side of the connection, or the connection is broken.
 func (b *Body) ClientClosed() bool { return b.conn.ClientClosed() }
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -44,6 +44,9 @@
 	// requestStart is the time at which the request began: the accept for the first request of the connection, and the
 	// first byte for each later request. Until that byte it is zero.
 	requestStart     time.Time
+	tracksLastByte   bool // whether lastByte is kept up to date: from TrackLastByte to FinishRequestRead
+	lastByte         lastByteEstimate
+	bodyLength       int64         // length of the body for lastByte, -1 if unknown
 	responseWritten  bool          // something was written since the start of the request
 	awaitingResponse bool          // a complete request was read and its response has not begun
 	pipelined        bool          // bytes were read after a complete request; they are not served
@@ -66,10 +69,17 @@
 	return &Conn{Conn: raw, listener: l, AcceptedAt: now, requestStart: now}
 }
 
+// watchReadBytes is how many bytes net/http reads to notice a disconnect while the handler runs, after the end of the
+// request.
+const watchReadBytes = 1
+
 // Read reads what the client sends. It returns net.ErrClosed once the connection was evicted or Close was called.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	readsBlocked := c.phase.blocksReads()
+	if c.tracksLastByte && len(p) > watchReadBytes {
+		c.lastByte.awaitsClient = c.observeLastByte()
+	}
 	c.mu.Unlock()
 	if readsBlocked {
 		return 0, net.ErrClosed
@@ -93,6 +103,7 @@
 func (c *Conn) recordRead(data []byte, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endBodyRead(len(data))
 	if c.phase.blocksReads() {
 		data, err = nil, net.ErrClosed
 	}
@@ -173,7 +184,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	nothingFollows = bodyLength >= 0 && c.head.Size == c.head.HeadSize+bodyLength
-	c.head, c.requestStart = httpmsg.HeadScanner{}, time.Time{}
+	c.head, c.requestStart, c.tracksLastByte = httpmsg.HeadScanner{}, time.Time{}, false
 	return nothingFollows
 }
 
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"time"
 
 	"oakproxy/balancer"
 	"oakproxy/internal/downstream"
@@ -15,6 +16,7 @@
 const (
 	waitClientLost      waitEnd = iota // the client is gone, or too slow with its body
 	waitAdmissionClosed                // admission has closed before the last byte of the body was forwarded
+	waitUploadOverdue                  // the body was not forwarded by the upload's forwarding deadline
 	waitUnreadableBody                 // the body cannot be read
 	waitAnswered                       // the loop has chosen the final response
 )
@@ -42,11 +44,14 @@
 	r.memory.Retain()
 	s.admit(r, x.request)
 	response, end := s.awaitResponse(x, r)
+	if upload != nil && upload.Overdue(time.Now()) {
+		s.overdue.Add(1)
+	}
 	switch end {
 	case waitAnswered:
 		s.respond(x, r, openReq, response)
-	case waitAdmissionClosed:
-		rejectTerminating(x.w)
+	case waitAdmissionClosed, waitUploadOverdue:
+		rejectAndClose(x.w)
 		s.inFlight.remove(openReq)
 		s.drainUpload(x.w, x.conn, upload)
 	case waitUnreadableBody:
@@ -58,8 +63,13 @@
 	}
 }
 
+// uploadDeadlineGrace is how much later than the attempt the handler ends an upload that is overdue. If the attempt has
+// begun, it ends first, and the balancer learns that the endpoint is too slow.
+const uploadDeadlineGrace = 20 * time.Millisecond
+
 // awaitResponse waits for the loop's final response, and returns it if the wait ends with waitAnswered. In any other
-// case, it makes the loop end the request.
+// case, it makes the loop end the request. An upload must be forwarded by its forwarding deadline, whatever it waits for:
+// probes, connections, other attempts or an endpoint.
 func (s *server) awaitResponse(x *exchange, r *request) (response finalResponse, end waitEnd) {
 	defer func() {
 		if end != waitAnswered {
@@ -68,9 +78,13 @@
 	}()
 	var uploadFailed <-chan error
 	var admissionClosed <-chan struct{}
+	var overdue <-chan time.Time
 	upload := r.message.Upload
 	if upload != nil {
 		uploadFailed, admissionClosed = upload.ClientFailure, s.admission.closed
+		timer := time.NewTimer(time.Until(upload.ForwardingDeadline()) + uploadDeadlineGrace)
+		defer timer.Stop()
+		overdue = timer.C
 	}
 	for {
 		select {
@@ -81,6 +95,15 @@
 				return finalResponse{}, waitAdmissionClosed
 			}
 			admissionClosed = nil // the last byte may have been sent, so the request still awaits its response
+		case <-overdue:
+			wait := time.Until(upload.ForwardingDeadline()) + uploadDeadlineGrace
+			if wait <= 0 && upload.Stop() {
+				return finalResponse{}, waitUploadOverdue
+			}
+			overdue = nil // the last byte may have been sent, so the request still awaits its response
+			if wait > 0 {
+				overdue = time.After(wait)
+			}
 		case failure := <-uploadFailed:
 			if errors.Is(failure, os.ErrDeadlineExceeded) {
 				return finalResponse{}, waitClientLost
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -50,6 +50,8 @@
 	closeCounts() downstream.CloseCounts
 	// openRequests returns how many requests have handlers that have not returned.
 	openRequests() int
+	// overdueUploads returns how many uploads were not forwarded by their forwarding deadline.
+	overdueUploads() uint64
 }
 
 // loop owns the balancer and the tables of requests and endpoints. The goroutine that calls run, the loop's goroutine,
@@ -160,6 +162,7 @@
 		stages: l.stages.Totals()}
 	if l.clientSide != nil {
 		c.closes = l.clientSide.closeCounts()
+		c.overdueUploads = l.clientSide.overdueUploads()
 	}
 	l.stats.logSinceLast(&c, gauges{listAgeMS: l.watcher.listAgeMS(now), listVersion: l.watcher.position.CurrentVersion,
 		maxEventWait: l.events.takeMaxWait(), inForce: l.current.Load(), rejectedReloads: l.rejectedReloads,
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -74,11 +74,14 @@
 		budgets.Bodies.Release(reserved)
 	})
 	defer x.memory.Release()
+	if in.ContentLength < 0 || in.ContentLength > reserved {
+		x.conn.TrackLastByte(x.times.Arrived.Add(-age), in.ContentLength)
+	}
 	stream := downstream.NewBody(x.conn, in)
 	body, complete, err := readBody(stream, reserved, in.ContentLength)
 	switch {
 	case (err != nil || !complete) && s.admission.isClosed():
-		rejectUnread(w, in, terminatingResponse)
+		rejectUnread(w, in, unsentResponse)
 		return
 	case err != nil:
 		rejectInvalid(w, in, err)
@@ -107,7 +110,7 @@
 	clearReadDeadline(x.conn)
 	nothingFollows := x.conn.FinishRequestRead(x.in.ContentLength)
 	if s.admission.isClosed() {
-		rejectTerminating(x.w)
+		rejectAndClose(x.w)
 		return
 	}
 	x.times.BodyRead = time.Now()
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -83,10 +83,10 @@
 		"Content-Type": {"text/plain; charset=utf-8"}, "X-Content-Type-Options": {"nosniff"}}})
 }
 
-// rejectTerminating rejects a request that was read after admission had closed, and ends its connection.
-func rejectTerminating(w http.ResponseWriter) {
+// rejectAndClose rejects a request of which no endpoint has got the last byte, and ends its connection.
+func rejectAndClose(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	writeFinalResponse(w, terminatingResponse)
+	writeFinalResponse(w, unsentResponse)
 }
 
 // writeFinalResponse writes the head of a response and the buffered part of its body.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -60,6 +60,7 @@
 	clients   *downstream.Listener
 	admission *requestAdmission
 	inFlight  inFlightRequests
+	overdue   atomic.Uint64 // number of uploads that were not forwarded by their forwarding deadline
 
 	terminating       atomic.Bool   // whether shutdown has started
 	drainedByOperator atomic.Bool   // whether an operator has drained the sidecar
@@ -110,6 +111,8 @@
 
 func (s *server) openRequests() int { return s.inFlight.count() }
 
+func (s *server) overdueUploads() uint64 { return s.overdue.Load() }
+
 // draining reports whether clients should disconnect. While it returns true, every response ends its connection.
 func (s *server) draining() bool { return s.terminating.Load() || s.drainedByOperator.Load() }
 
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// terminatingResponse is the response to requests read after admission has closed. No part of such a request was
-// forwarded, so another process can serve it immediately.
-var terminatingResponse = finalResponse{code: http.StatusServiceUnavailable}
+// unsentResponse is the response to a request that has not run and never will: one that was read after admission had
+// closed, or one whose body was not forwarded in time. The client may send it again immediately.
+var unsentResponse = finalResponse{code: http.StatusServiceUnavailable}
 
 // terminate shuts the server down in the phases described above. It returns when the last phase has ended.
 func (s *server) terminate() {
--- a/internal/sidecar/statistics.go
+++ b/internal/sidecar/statistics.go
@@ -19,6 +19,7 @@
 	discoveryCalls discoveryCallCounts // calls to discovery
 	stages         stages.Totals
 	closes         downstream.CloseCounts // closed clients' connections, by cause
+	overdueUploads uint64
 }
 
 // gauges are the values of the statistics that describe the current state.
@@ -76,6 +77,7 @@
 			"connection_limit", c.upstream.LimitReached-last.upstream.LimitReached, "connections", c.upstream.Open,
 			"event_wait_ms", float64(g.maxEventWait.Microseconds())/1000,
 			"stages_us", c.stages.MeansSince(last.stages), "client_closes", c.closes.Since(last.closes),
+			"uploads_overdue", c.overdueUploads-last.overdueUploads,
 			"generation", g.inForce.Generation, "hash", g.inForce.FileHash,
 			"reloads", g.inForce.Generation-config.FirstGeneration, "reloads_rejected", g.rejectedReloads,
 			"requests_held", g.held.tableEntries, "requests_open", g.held.openRequests,
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -226,3 +226,34 @@
 		}
 	}
 }
+
+// Guards against an upload that gets its response too late because it waits for something other than an endpoint that
+// reads: here for a connection. The client gets 503 while the sidecar still waits, and the request never runs.
+func TestUploadIsAnsweredWhileItsConnectionIsAwaited(t *testing.T) {
+	body := strings.Repeat("x", 4*httpmsg.MaxBufferedBytes)
+	for name, framed := range map[string]string{
+		"by length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"in chunks": "Transfer-Encoding: chunked\r\n\r\n" + encodeChunks(body, 10_000) + "0\r\n\r\n",
+	} {
+		e := sidecartest.NewEndpoint(t, writeBodyLength)
+		h := start(t, func(settings map[string]any) {
+			settings["limits"].(map[string]any)["dial-timeout"] = sidecartest.WaitTimeout.Microseconds()
+		}, ready("s-1", e.Address))
+		dials := sidecartest.BlockDials(&h.loop.upstream.Dialer, e.Address)
+		conn := h.dial()
+		fmt.Fprintf(conn, "%sX-Correlation-Id: 1\r\n%s", strings.Replace(sidecartest.PayHead, "3000", "300", 1), framed)
+		<-dials.Started
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%s: got %v, %v while the connection is awaited, want 503", name, response, err)
+		}
+		close(dials.Unblock)
+		h.await("the attempt to end", func() bool { return len(h.recorder.statuses()) > 0 })
+		if n, _ := e.Counts(); n != 0 {
+			t.Errorf("%s: the endpoint got %d requests, want none", name, n)
+		}
+		if n := h.server.overdueUploads(); n != 1 {
+			t.Errorf("%s: %d uploads are counted as overdue, want 1", name, n)
+		}
+	}
+}
--- a/internal/system/sockets.go
+++ b/internal/system/sockets.go
@@ -98,6 +98,14 @@
 	return age
 }
 
+// UnreadBytes returns how many bytes of a connection have arrived at this machine and were not read. known is false if
+// the system can't tell.
+func UnreadBytes(c net.Conn) (n int64, known bool) {
+	var failure error
+	err := control(c, func(fd int) { n, failure = unreadBytes(fd) })
+	return n, err == nil && failure == nil
+}
+
 // The states of a TCP connection that may still carry a request, with Linux's numbers.
 const (
 	tcpEstablished = 1
--- a/internal/system/syscalls.go
+++ b/internal/system/syscalls.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// ioctlFIONREAD is Linux's number of the operation of ioctl(2) that returns how many bytes can be read.
+const ioctlFIONREAD = 0x541b
+
+// unreadBytes returns how many bytes a socket has received that were not read.
+func unreadBytes(fd int) (int64, error) {
+	var n int32
+	_, _, errno := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), ioctlFIONREAD, uintptr(unsafe.Pointer(&n)))
+	if errno != 0 {
+		return 0, errno
+	}
+	return int64(n), nil
+}
+
 // tcpInfo returns the state that the kernel reports for a TCP socket (socket option TCP_INFO).
 func tcpInfo(fd int) (info syscall.TCPInfo, err error) {
 	size := uint32(unsafe.Sizeof(info))
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -35,8 +35,8 @@
 }
 
 // encode returns the bytes of the request for an attempt. They include the body; if the request has an upload, they end
-// with the head. X-Time-Left-Ms is the time until the deadline of ctx or, if the request has an upload,
-// Upload.TimeLeft. Endpoints must get no request that no client has sent, so encode refuses one without an id.
+// with the head. X-Time-Left-Ms is the time until the deadline of ctx or, if the request has an upload, that
+// of Upload.toldTimeLeft. Endpoints must get no request that no client has sent, so encode refuses one without an id.
 func (r *Request) encode(ctx context.Context) ([]byte, error) {
 	if !r.isProbe && r.Header.Get(idHeader) == "" {
 		return nil, errNoClientRequest
@@ -44,9 +44,9 @@
 	header := http.Header{}
 	httpmsg.CopyEndToEnd(header, r.Header)
 	length := int64(len(r.Body))
-	if r.Upload != nil { // the time left is counted from the arrival of the upload's last byte
+	if r.Upload != nil {
 		length = r.Upload.Length
-		header.Set(timeLeftHeader, strconv.FormatInt(r.Upload.TimeLeft.Milliseconds(), 10))
+		header.Set(timeLeftHeader, strconv.FormatInt(r.Upload.toldTimeLeft().Milliseconds(), 10))
 	} else if deadline, ok := ctx.Deadline(); ok {
 		header.Set(timeLeftHeader, strconv.FormatInt(max(0, time.Until(deadline).Milliseconds()), 10))
 	}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -18,8 +18,10 @@
 // clientBody reads the part of a request's body that has not been buffered, as it arrives from the client.
 type clientBody interface {
 	io.Reader
-	// LastDataAge returns how long ago the latest bytes from the client arrived at this machine.
-	LastDataAge() time.Duration
+	// EarliestLastByte returns the earliest time at which the client can have written the last byte of the body, and
+	// whether that byte is known to have arrived. The time is later while the client keeps the sidecar waiting, but not
+	// because an endpoint does.
+	EarliestLastByte() (earliest time.Time, arrived bool)
 	// ClientClosed reports whether the client has ended its side of the connection.
 	ClientClosed() bool
 	// Discard reads and discards the data that the client still sends. It begins no read after maxDuration has passed.
@@ -32,7 +34,7 @@
 type Upload struct {
 	// Length is the length of the complete body in bytes; -1 if the length is unknown.
 	Length int64
-	// TimeLeft is the client's remaining time, counted from the arrival of the body's last byte.
+	// TimeLeft is the client's remaining time, counted from when it has written the body's last byte.
 	TimeLeft time.Duration
 	// OnWritten is called once, when the last byte of the body has been forwarded.
 	OnWritten func()
@@ -50,7 +52,7 @@
 	Body clientBody
 	// WrittenAt is when the last byte of the body was forwarded. It is zero until then.
 	WrittenAt  time.Time
-	lastDataAt time.Time // when the bytes that were read last arrived at this machine
+	lastByteAt time.Time // the result of Body.EarliestLastByte after the latest read
 }
 
 // uploadPhase is the state of an upload. It changes at most once, from uploadStreaming to one of the other two. Once
@@ -85,7 +87,7 @@
 	}
 	u.consumed.Store(true)
 	n, err := u.Body.Read(p)
-	u.recordArrival()
+	u.lastByteAt, _ = u.Body.EarliestLastByte()
 	if errors.Is(err, io.EOF) {
 		u.ReachedEOF.Store(true)
 	} else if err != nil {
@@ -98,25 +100,61 @@
 	return n, err
 }
 
-// recordArrival sets lastDataAt after a read from the client.
-func (u *Upload) recordArrival() { u.lastDataAt = time.Now().Add(-u.Body.LastDataAge()) }
-
 // Stop prevents the last bytes from being written, so that the request never runs. It reports whether the upload was
 // still streaming; if not, it has already been stopped or its last bytes may have been sent.
 func (u *Upload) Stop() bool { return u.enterFinalPhase(uploadStopped) }
 
 // Deadline returns the instant until which the client waits for the response. It is valid once the last byte of the
 // body has been written.
-func (u *Upload) Deadline() time.Time { return u.lastDataAt.Add(u.TimeLeft) }
+func (u *Upload) Deadline() time.Time { return u.lastByteAt.Add(u.TimeLeft) }
+
+// ForwardingDeadline returns the time by which the body must be forwarded, because the client may have written its last
+// byte, and awaits the response. All that may delay an upload is limited by it, however much progress there is in
+// between. It is later if the client was awaited since. The client's time counts as maxWriteDelay if it is shorter,
+// because a delay of that length is harmless.
+func (u *Upload) ForwardingDeadline() time.Time {
+	lastByteAt, arrived := u.Body.EarliestLastByte()
+	longest := max(u.TimeLeft, maxWriteDelay)
+	if arrived { // later than this, the last bytes would not be written
+		longest = min(longest, u.maxForwardingDelay())
+	}
+	return lastByteAt.Add(longest)
+}
 
-// pieceDeadline returns the deadline for the write of the piece that was read last, which begins now. The client's time
-// counts as maxWriteDelay if it is shorter, because a delay of that length is harmless.
+// pieceDeadline returns the deadline for the write of a piece, which begins now.
 func (u *Upload) pieceDeadline(now time.Time) time.Time {
-	responseDue := u.lastDataAt.Add(max(u.TimeLeft, maxWriteDelay))
-	timeLeft := responseDue.Sub(now)
+	timeLeft := u.ForwardingDeadline().Sub(now)
 	return now.Add(min(httpmsg.ChunkTimeout, max(minWriteTime, timeLeft)))
 }
 
+// How much of TimeLeft is kept for forwarding the body.
+const (
+	maxForwardingShare = 4        // at most 1/maxForwardingShare of TimeLeft
+	minForwardingRate  = 10 << 20 // in bytes per second; a body of known length is forwarded at this rate at least
+)
+
+// forwardingTime returns the part of TimeLeft within which the body is expected to be forwarded after the client has
+// written its last byte.
+func (u *Upload) forwardingTime() time.Duration {
+	longest := u.TimeLeft / maxForwardingShare
+	if u.Length < 0 {
+		return longest
+	}
+	return min(longest, time.Duration(u.Length)*time.Second/minForwardingRate)
+}
+
+// maxForwardingDelay returns how long after the client has written its last byte the last bytes may be written.
+func (u *Upload) maxForwardingDelay() time.Duration { return u.forwardingTime() + maxWriteDelay }
+
+// toldTimeLeft returns the value of X-Time-Left-Ms for the endpoint, to which it is sent with the head. When the endpoint
+// gets the last bytes, the client must not have less time left, but for maxWriteDelay.
+func (u *Upload) toldTimeLeft() time.Duration { return u.TimeLeft - u.forwardingTime() }
+
+// Overdue reports whether the upload was stopped and its forwarding deadline has passed.
+func (u *Upload) Overdue(now time.Time) bool {
+	return uploadPhase(u.phase.Load()) == uploadStopped && now.After(u.ForwardingDeadline())
+}
+
 // Finish ends the attempt's use of the body, because nothing may read the body once the client's handler has returned.
 // It waits for a read that is in progress; the minimum rate at which the client must send limits that wait.
 func (u *Upload) Finish() {
@@ -126,11 +164,9 @@
 }
 
 // beginLastWrite is the check before the last bytes are written. It returns errUploadStopped if they must not be
-// written. X-Time-Left-Ms was sent with the head, but states the time left when the last bytes arrive from the client.
-// The request must therefore not run if the last bytes have waited for longer than maxWriteDelay. Nor must it run if
-// the client has disconnected.
+// written: X-Time-Left-Ms would tell the endpoint more time than the client has left, or the client has disconnected.
 func (u *Upload) beginLastWrite() error {
-	if time.Since(u.lastDataAt) > maxWriteDelay || u.Body.ClientClosed() {
+	if time.Since(u.lastByteAt) > u.maxForwardingDelay() || u.Body.ClientClosed() {
 		u.Stop()
 	}
 	if !u.enterFinalPhase(uploadFinishing) {
@@ -174,9 +210,8 @@
 // minWriteTime is the least time for the write of a piece: enough for a write that does not block.
 const minWriteTime = 5 * time.Millisecond
 
-// uploadWriter writes an upload to an endpoint. The endpoint must accept each piece within httpmsg.ChunkTimeout, and
-// before the response is due if the client has sent its last byte: the byte may wait behind the piece, because the
-// sidecar reads nothing from the client until the endpoint has accepted the piece.
+// uploadWriter writes an upload to an endpoint. The endpoint must accept each piece within httpmsg.ChunkTimeout, and all
+// of them by Upload.ForwardingDeadline.
 type uploadWriter struct {
 	*conn
 	upload    *Upload
@@ -225,7 +260,7 @@
 
 // copyBody writes the buffered beginning of the body to a writer, and then copies the upload through a buffer.
 func (r *Request) copyBody(to io.Writer, buffer []byte) error {
-	r.Upload.recordArrival()
+	r.Upload.lastByteAt, _ = r.Upload.Body.EarliestLastByte()
 	if _, err := to.Write(r.Body); err != nil {
 		return err
 	}
