Take readiness back at a shutdown, and accept whenever no other process is ready

What callers saw: while one process was being replaced and still answered a request, the new one got SIGTERM, too.

Cause: a process marked itself as ready and never took that back, so one that shut down counted as ready until its end. The other relied on it and closed its listener at its own SIGTERM.

The second was ready, and the drain period not too short. The new test with two processes gets no response within 20 s on the code before.

Change: a process withdraws its mark before it looks at others', so that of two that shut down none relies on the other; MarkReady has no effect after that. Until the end of the drain period it accepts whenever no other process is ready, and pauses while one is, in place of one look at SIGTERM. A starting process without endpoints waits for a ready process, and no longer for any.

--- a/cmd/sidecar/termination_test.go
+++ b/cmd/sidecar/termination_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -159,3 +160,48 @@
 		})
 	}
 }
+
+// Guards against requests that nobody accepts while a sidecar ends: the old process, which is replaced, answers its last
+// request and accepts nobody any more when the new process gets SIGTERM, too. The new one must go on accepting.
+func TestSIGTERMToBothProcessesLosesNoRequest(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read" {
+			close(arrived)
+			<-release
+		}
+		io.WriteString(w, "done")
+	}))
+	t.Cleanup(endpoint.Close)
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(releaseOnce)
+	config := strings.Replace(withSearchClass(configJSON("127.0.0.1:1")), `"dial":"127.0.0.1:1"`,
+		fmt.Sprintf(`"dial":%q`, endpoint.Listener.Addr()), 1)
+	socket := newPassedSocket(t)
+	first := socket.launch(t, config)
+	awaitReady(t, socket.address)
+	held := make(chan int, 1)
+	go func() { held <- requestStatus(t, socket.address, "read") }()
+	<-arrived
+	second := socket.launch(t, config)
+	waitFor(t, "the second process to be ready", second.healthy)
+	first.signal(syscall.SIGTERM)
+	waitFor(t, "the first process to accept nothing", func() bool { return first.log.count("admission closed") > 0 })
+	second.signal(syscall.SIGTERM)
+	waitFor(t, "the second process to shut down", func() bool { return second.log.count("shutdown started") > 0 })
+	late := make(chan int, 1)
+	go func() { late <- requestStatus(t, socket.address, "search") }()
+	waitFor(t, "a response of the process that shuts down last", func() bool { return len(late) > 0 })
+	if got := <-late; got != http.StatusOK {
+		t.Errorf("a request to the process that shuts down last: got status %d, want 200", got)
+	}
+	releaseOnce()
+	if got := <-held; got != http.StatusOK {
+		t.Errorf("the request of the first process: got status %d, want 200", got)
+	}
+	for _, p := range []*program{first, second} {
+		if err := p.Wait(); err != nil {
+			t.Errorf("got program exit error %v, want exit code 0", err)
+		}
+	}
+}
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -215,3 +216,67 @@
 		}
 	}
 }
+
+// acceptCounter counts the calls of Accept that are in progress.
+type acceptCounter struct {
+	*net.TCPListener
+	inProgress atomic.Int32
+}
+
+func (l *acceptCounter) Accept() (net.Conn, error) {
+	l.inProgress.Add(1)
+	defer l.inProgress.Add(-1)
+	return l.TCPListener.Accept()
+}
+
+// Guards against a connection that is lost or accepted while accepting is paused, and against an Accept that does not
+// return when the listener is closed.
+func TestPausedListenerAcceptsNothing(t *testing.T) {
+	l := newTestListener(t, 4)
+	counted := &acceptCounter{TCPListener: l.Listener.Listener.(*net.TCPListener)}
+	l.Listener.Listener = counted
+	accepted, ended := make(chan net.Conn, 1), make(chan error, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for _, when := range []string{"first", "second"} {
+		l.SetPaused(true)
+		l.SetPaused(true) // changes nothing
+		// A call of accept(2) that has begun before may still accept one connection.
+		sidecartest.Await(t, "Accept to be woken", func() bool { return counted.inProgress.Load() == 0 })
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		if n := l.Count(); n != 0 {
+			t.Errorf("%s pause: %d connections are open, want none", when, n)
+		}
+		l.SetPaused(false)
+		select {
+		case c := <-accepted:
+			c.Close()
+			client.Close()
+			sidecartest.Await(t, "the connection to be released", func() bool { return l.Count() == 0 })
+		case <-time.After(sidecartest.WaitTimeout):
+			t.Fatalf("%s pause: the connection is not accepted after it", when)
+		}
+	}
+	l.SetPaused(true)
+	l.Close()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("Accept of a listener that is closed in a pause returned %v, want %v", err, net.ErrClosed)
+		}
+	case <-time.After(sidecartest.WaitTimeout):
+		t.Error("Accept of a listener that is closed in a pause does not return")
+	}
+}
--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -5,8 +5,8 @@
 //
 //   - A slot belongs to at most one process: the one that holds the lock on the slot's file. The kernel releases the
 //     lock when the process ends, for whatever reason.
-//   - A slot's file says "ready" only after the process that holds the slot has called MarkReady. AcquireSlot clears
-//     the mark that the previous holder may have left.
+//   - A slot's file says "ready" only between the calls of MarkReady and Withdraw by the process that holds the slot.
+//     AcquireSlot clears the mark that the previous holder may have left.
 //   - Closing an inherited listener closes only this process's descriptor. The other processes continue to accept.
 //
 // On disk, a slot is the file oakproxy-process.N in the shared directory, where N counts from 0. The file is empty or
--- a/internal/handover/slot.go
+++ b/internal/handover/slot.go
@@ -45,6 +45,9 @@
 	index int
 	file  *os.File // open and locked while the slot is held
 
+	markMu    sync.Mutex // held while the mark in the file is changed
+	withdrawn bool       // whether Withdraw was called; guarded by markMu
+
 	mu    sync.Mutex              // guards peers
 	peers [maxProcesses]peerState // last known state of each slot's process; zero for this process's own slot
 }
@@ -95,12 +98,27 @@
 	return file, nil
 }
 
-// MarkReady tells the other processes that this one is ready to serve.
+// MarkReady tells the other processes that this one accepts clients. It has no effect after Withdraw.
 func (s *Slot) MarkReady() error {
+	s.markMu.Lock()
+	defer s.markMu.Unlock()
+	if s.withdrawn {
+		return nil
+	}
 	_, err := s.file.WriteAt([]byte(readyMarker), 0)
 	return err
 }
 
+// Withdraw tells the other processes that they must not rely on this one any more, because it shuts down. A process must
+// call Withdraw before it looks whether others are ready: of two processes that shut down at the same time, neither then
+// relies on the other.
+func (s *Slot) Withdraw() error {
+	s.markMu.Lock()
+	defer s.markMu.Unlock()
+	s.withdrawn = true
+	return s.file.Truncate(0)
+}
+
 // Peers returns how many other processes of the sidecar are alive, and how many of those are ready to serve. If a slot
 // currently cannot be inspected, its last known state is used.
 func (s *Slot) Peers() (alive, ready int) {
--- a/internal/handover/slot_test.go
+++ b/internal/handover/slot_test.go
@@ -61,3 +61,49 @@
 		t.Errorf("inspect a slot file that is a symbolic link to itself: got %v, want an error about symbolic links", err)
 	}
 }
+
+// Guards against processes that rely on one that shuts down: Withdraw takes the mark back for good, so that a later call
+// of MarkReady, which may cross the shutdown, does not renew it. The next holder of the slot can be ready again.
+func TestWithdrawnProcessIsNotReady(t *testing.T) {
+	dir := t.TempDir()
+	var slots [3]*Slot
+	for i := range slots {
+		slot, err := AcquireSlot(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		slots[i] = slot
+	}
+	ending, other, neverReady := slots[0], slots[1], slots[2]
+	check := func(s *Slot, wantAlive, wantReady int) {
+		t.Helper()
+		if alive, ready := s.Peers(); alive != wantAlive || ready != wantReady {
+			t.Errorf("got %d peers alive and %d ready, want %d and %d", alive, ready, wantAlive, wantReady)
+		}
+	}
+	call := func(what string, f func() error) {
+		t.Helper()
+		if err := f(); err != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	call("mark the first process ready", ending.MarkReady)
+	call("mark the second process ready", other.MarkReady)
+	check(neverReady, 2, 2)
+	call("withdraw the first process", ending.Withdraw)
+	check(neverReady, 2, 1)
+	check(other, 2, 0)
+	call("mark a process ready that has withdrawn", ending.MarkReady)
+	check(other, 2, 0)
+	call("withdraw the second process, too", other.Withdraw)
+	check(ending, 2, 0)
+	call("withdraw a process that was never ready", neverReady.Withdraw)
+	check(ending, 2, 0)
+	ending.Release()
+	next, err := AcquireSlot(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	call("mark the next holder of the slot ready", next.MarkReady)
+	check(other, 2, 1)
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"time"
 
 	"oakproxy/balancer"
 	"oakproxy/internal/admin"
@@ -71,11 +70,7 @@
 	go s.closeIdleWhileDraining(s.loop.ctx)
 	served := make(chan error, 1)
 	go func() {
-		// A process that takes over accepts no clients until an endpoint is ready. Until then the old process serves them.
-		for s.hasPeer() && !s.loop.hasReadyEndpoint.Load() && ctx.Err() == nil {
-			time.Sleep(sweepInterval)
-		}
-		if ctx.Err() == nil {
+		if s.awaitTurn() {
 			served <- s.http.Serve(s.clients)
 		}
 	}()
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -15,7 +15,7 @@
 //
 //	draining          lasts for the drain period from SIGTERM: requests are admitted as before, but a connection is
 //	                  closed after its next response or when it is idle; new connections are accepted as before,
-//	                  unless another process of the sidecar is ready, which then accepts them
+//	                  except while another process of the sidecar is ready, which then accepts them
 //	admission closed  connections without a request are closed, requests read from now on are rejected before any
 //	                  attempt, and streamed bodies are stopped before their last byte is forwarded
 //	answering         requests in flight are answered by their deadlines; responses that have begun are relayed for
@@ -65,17 +65,14 @@
 // terminate shuts the server down in the phases described above. It returns when the last phase has ended.
 func (s *server) terminate() {
 	s.terminating.Store(true)
+	s.withdrawReadiness()
 	started := time.Now()
 	s.logPhase("shutdown started", started)
-	drainEnd := started.Add(s.drainPeriod)
-	if !s.hasReadyPeer() {
-		time.Sleep(time.Until(drainEnd))
-	}
-	if err := s.clients.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+	s.acceptUntil(started.Add(s.drainPeriod), started)
+	if err := s.clients.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Warn("closing the listener failed", "error", err) // shutdown continues: requests in flight need responses
 	}
 	s.logPhase("listener closed", started)
-	time.Sleep(time.Until(drainEnd))
 	s.admission.close()
 	s.logPhase("admission closed", started)
 	s.awaitInFlight(newAnsweringPhase(s, started, time.Now()))
@@ -85,6 +82,20 @@
 	s.log.Info("stage latencies", "requests", requests, "median/p99_us", stages)
 }
 
+// acceptUntil accepts connections until the time end, except while another process of the sidecar is ready. That process
+// may end, too, so its state is looked at again and again.
+func (s *server) acceptUntil(end, shutdownStarted time.Time) {
+	paused := false
+	for remaining := time.Until(end); remaining > 0; remaining = time.Until(end) {
+		if replaced := s.hasReadyPeer(); replaced != paused {
+			paused = replaced
+			s.clients.SetPaused(paused)
+			s.logPhase("accepting changed", shutdownStarted)
+		}
+		time.Sleep(min(sweepInterval, remaining))
+	}
+}
+
 // awaitInFlight waits until the answering phase has ended or every connection is closed.
 func (s *server) awaitInFlight(phase *answeringPhase) {
 	// The loop starts with a pause because a connection that is just being accepted may not be in the count yet.
--- a/internal/sidecar/slot.go
+++ b/internal/sidecar/slot.go
@@ -46,7 +46,7 @@
 				s.setProcessCount(processCount)
 				s.log.Info("processes of this sidecar", "count", processCount)
 			}
-			if !markedReady && s.loop.hasReadyEndpoint.Load() {
+			if !markedReady && s.loop.hasReadyEndpoint.Load() && !s.terminating.Load() {
 				// If MarkReady fails, for example because the disk is full, the next pass of the loop retries.
 				markedReady = slot.MarkReady() == nil
 			}
@@ -59,24 +59,48 @@
 	}
 }
 
-// hasPeer reports whether another process of this sidecar is running.
-func (s *server) hasPeer() bool {
+// peers returns how many other processes of this sidecar are running, and how many of those accept clients and will go
+// on to do so.
+func (s *server) peers() (alive, ready int) {
 	slot := s.slot.Load()
 	if slot == nil {
-		return false
+		return 0, 0
 	}
-	alive, _ := slot.Peers()
-	return alive > 0
+	return slot.Peers()
 }
 
 // hasReadyPeer reports whether another process of this sidecar is ready and thus serves new clients.
 func (s *server) hasReadyPeer() bool {
+	_, ready := s.peers()
+	return ready > 0
+}
+
+// withdrawReadiness tells the other processes that this one shuts down. It must be called after terminating is set, so
+// that followPeers does not mark a slot as ready that it acquires only now.
+func (s *server) withdrawReadiness() {
 	slot := s.slot.Load()
 	if slot == nil {
-		return false
+		return
 	}
-	_, ready := slot.Peers()
-	return ready > 0
+	if err := slot.Withdraw(); err != nil {
+		s.log.Warn("readiness not withdrawn", "error", err)
+	}
+}
+
+// awaitTurn waits until this process must accept clients, because it knows a ready endpoint or no other process accepts
+// them. A process that is running but not ready may still accept them for the drain period, while it shuts down. The
+// result is false if the listener was closed before.
+func (s *server) awaitTurn() bool {
+	for started := time.Now(); !s.loop.hasReadyEndpoint.Load(); time.Sleep(sweepInterval) {
+		alive, ready := s.peers()
+		if ready == 0 && (alive == 0 || time.Since(started) >= s.drainPeriod) {
+			return true
+		}
+		if s.admission.isClosed() {
+			return false
+		}
+	}
+	return true
 }
 
 // setProcessCount limits this process to one of count equal parts of the sidecar's limits.
--- a/internal/sidecar/slot_test.go
+++ b/internal/sidecar/slot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"oakproxy/internal/handover"
 )
@@ -33,8 +34,8 @@
 	h.await("the limit of body memory to be halved", func() bool {
 		return h.loop.upstream.Memory.Bodies.Limit.Load() == bodyMemory/2
 	})
-	if !h.server.hasPeer() || h.server.hasReadyPeer() {
-		t.Error("got no peer or a ready one, want one that is not ready")
+	if alive, ready := h.server.peers(); alive != 1 || ready != 0 {
+		t.Errorf("got %d peers, %d of them ready, want one that is not ready", alive, ready)
 	}
 	if err := otherSlot.MarkReady(); err != nil {
 		t.Fatal(err)
@@ -48,3 +49,115 @@
 		return limit == connections && h.loop.upstream.Memory.Bodies.Limit.Load() == bodyMemory
 	})
 }
+
+// withPeers gives the sidecar a process slot, and returns the slots of count other processes of it.
+func (h *harness) withPeers(count int) (peers []*handover.Slot) {
+	h.t.Helper()
+	dir := h.t.TempDir()
+	for i := range count + 1 {
+		slot, err := handover.AcquireSlot(dir)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.t.Cleanup(slot.Release)
+		if i == 0 {
+			h.server.slot.Store(slot)
+			continue
+		}
+		peers = append(peers, slot)
+	}
+	return peers
+}
+
+// Guards against requests that nobody accepts because two processes that shut down rely on each other, or because the
+// only ready one has ended: while a process drains, it accepts connections whenever no other process is ready.
+func TestDrainingProcessAcceptsUnlessAnotherIsReady(t *testing.T) {
+	for name, end := range map[string]func(peer *handover.Slot) error{
+		"shuts down":  (*handover.Slot).Withdraw,
+		"is killed":   func(peer *handover.Slot) error { peer.Release(); return nil },
+		"never ready": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newServingEndpoint(t)
+			h := start(t, nil, ready("s-1", e.Address))
+			h.server.drainPeriod = time.Hour // the test ends before
+			peers := h.withPeers(2)
+			own := h.server.slot.Load()
+			mustSucceed(t, own.MarkReady())
+			if end != nil {
+				mustSucceed(t, peers[0].MarkReady())
+			}
+			h.stop()
+			h.await("the process not to count as ready", func() bool {
+				_, ready := peers[1].Peers()
+				return ready == boolToInt(end != nil)
+			})
+			response := make(chan reply, 1)
+			request := h.request("pay", "body", time.Minute)
+			if end != nil {
+				h.await("accepting to be paused", h.server.clients.Paused)
+				mustSucceed(t, own.MarkReady()) // as followPeers may do just then
+			}
+			go func() { response <- h.send(request) }()
+			if end != nil {
+				mustSucceed(t, end(peers[0]))
+			}
+			if got := <-response; got.code != 200 {
+				t.Errorf("got %+v, want 200", got)
+			}
+			mustSucceed(t, peers[1].MarkReady())
+			h.await("accepting to be paused again", h.server.clients.Paused)
+		})
+	}
+}
+
+// Guards against processes that start at the same time, or beside one that shuts down, and wait for each other: a process
+// without endpoints accepts clients, which it rejects, unless another process is ready.
+func TestStartingProcessWaitsOnlyForReadyOnes(t *testing.T) {
+	h := &harness{t: t, discovery: newFakeDiscovery(t)}
+	h.launch(newConfig(t, h.discovery.address, nil))
+	h.server.drainPeriod = 0
+	peers := h.withPeers(2)
+	mustSucceed(t, peers[0].MarkReady())
+	turn := make(chan bool, 1)
+	await := func() { go func() { turn <- h.server.awaitTurn() }() }
+	await()
+	time.Sleep(3 * sweepInterval)
+	select {
+	case <-turn:
+		t.Error("the process accepts clients beside a ready one, want it to wait")
+	default:
+	}
+	mustSucceed(t, peers[0].Withdraw())
+	if !<-turn {
+		t.Error("got no turn once the ready process shuts down, want one")
+	}
+	await()
+	if !<-turn {
+		t.Error("got no turn beside two processes that are not ready, want one")
+	}
+	peers[0].Release()
+	mustSucceed(t, peers[1].MarkReady())
+	h.server.admission.close()
+	await()
+	if <-turn {
+		t.Error("got a turn after admission was closed beside a ready process, want none")
+	}
+}
+
+// mustSucceed ends the test if err is not nil.
+func mustSucceed(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// boolToInt returns 1 for true and 0 for false.
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
