Await the log line with the hash of the configuration in its test

TestReadsAndWritesFilesOfThePreviousRelease failed once in 6 runs: the line with the hash was missing. Cause, by reading: log lines are written by a goroutine of their own, so the health check may answer before the line is in the log, and the test looked once.

--- a/cmd/sidecar/frozen_test.go
+++ b/cmd/sidecar/frozen_test.go
@@ -139,9 +139,10 @@
 		cmd.Wait()
 	})
 	waitFor(t, "health", func() bool { return getStatus("http://"+admin+"/admin/health") == http.StatusOK })
-	if log.count("hash="+releaseHash) == 0 {
-		t.Errorf("the logged hash of the configuration is not %s", releaseHash)
-	}
+	// The log has a goroutine of its own, which may write the line after the sidecar is ready.
+	waitFor(t, "the hash "+releaseHash+" of the configuration in the log", func() bool {
+		return log.count("hash="+releaseHash) > 0
+	})
 	if got := readinessStatus(socket.address); got != http.StatusServiceUnavailable {
 		t.Errorf("readiness of a drained sidecar: got %d, want 503", got)
 	}
