--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -47,51 +47,7 @@
 	acceptErrors       uint64
 	lastAcceptErrorLog time.Time
 
-	pauseMu sync.Mutex    // held while accepting is paused or resumed
-	resumed chan struct{} // closed when accepting is resumed; nil unless it is paused; guarded by pauseMu
-}
-
-// SetPaused stops accepting connections or resumes it. Connections that arrive meanwhile wait, in a queue that other
-// processes with the same socket accept from. A listener without deadlines can't be paused and goes on.
-func (l *Listener) SetPaused(paused bool) {
-	inner, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
-	l.pauseMu.Lock()
-	defer l.pauseMu.Unlock()
-	if !ok || paused == (l.resumed != nil) {
-		return
-	}
-	if paused {
-		l.resumed = make(chan struct{})
-		_ = inner.SetDeadline(expiredDeadline) // wakes Accept; fails only if the listener is closed
-		return
-	}
-	_ = inner.SetDeadline(time.Time{})
-	close(l.resumed)
-	l.resumed = nil
-}
-
-// Paused reports whether accepting is paused.
-func (l *Listener) Paused() bool {
-	l.pauseMu.Lock()
-	defer l.pauseMu.Unlock()
-	return l.resumed != nil
-}
-
-// awaitResumed returns once accepting is not paused.
-func (l *Listener) awaitResumed() {
-	l.pauseMu.Lock()
-	resumed := l.resumed
-	l.pauseMu.Unlock()
-	if resumed != nil {
-		<-resumed
-	}
-}
-
-// Close closes the listener. Accept then fails, also if it is paused.
-func (l *Listener) Close() error {
-	err := l.Listener.Close()
-	l.SetPaused(false)
-	return err
+	pause acceptPause
 }
 
 // Accept returns the next connection, which is a *Conn. If the limit is reached, Accept makes room by evicting a
@@ -105,7 +61,7 @@
 // net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		l.awaitResumed()
+		l.pause.await()
 		raw, err := l.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // accepting was paused
 			continue
