--- a/internal/sidecar/slot_test.go
+++ b/internal/sidecar/slot_test.go
@@ -72,9 +72,9 @@
 // Guards against requests that nobody accepts because two processes that shut down rely on each other, or because the
 // only ready one has ended: while a process drains, it accepts connections whenever no other process is ready.
 func TestDrainingProcessAcceptsUnlessAnotherIsReady(t *testing.T) {
-	for name, end := range map[string]func(peer *handover.Slot) error{
-		"shuts down":  (*handover.Slot).Withdraw,
-		"is killed":   func(peer *handover.Slot) error { peer.Release(); return nil },
+	for name, end := range map[string]func(t *testing.T, peer *handover.Slot){
+		"shuts down":  func(t *testing.T, peer *handover.Slot) { mustSucceed(t, peer.Withdraw()) },
+		"is killed":   func(_ *testing.T, peer *handover.Slot) { peer.Release() },
 		"never ready": nil,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -101,7 +101,7 @@
 			}
 			go func() { response <- h.send(request) }()
 			if end != nil {
-				mustSucceed(t, end(peers[0]))
+				end(t, peers[0])
 			}
 			if got := <-response; got.code != 200 {
 				t.Errorf("got %+v, want 200", got)
