--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -29,7 +29,7 @@
 type Body struct {
 	conn           *Conn
 	body           io.Reader
-	request        *http.Request // request whose body this is; nil in some tests
+	request        *http.Request // request whose body this is
 	smallDeadline  time.Time     // no minimum rate before this time: smallRequestTimeout after the start of the request
 	remainingLag   time.Duration // how much the lag behind minBodyRate may still grow: maxBodyLag less the current lag
 	remainingBytes int64         // how many bytes may still be read: httpmsg.MaxBodyBytes less the bytes read so far
@@ -64,7 +64,7 @@
 	if b.remainingBytes -= int64(n); b.remainingBytes < 0 {
 		return 0, ErrBodyTooLarge
 	}
-	if err != nil && b.request != nil {
+	if err != nil {
 		b.request.Trailer = nil // net/http has read the trailers with the end of the body; they are not forwarded
 	}
 	return n, err
--- a/internal/downstream/body_test.go
+++ b/internal/downstream/body_test.go
@@ -15,6 +15,7 @@
 	b := &Body{
 		conn:           &Conn{Conn: noDeadlineConn{}},
 		body:           strings.NewReader("123456"),
+		request:        &http.Request{},
 		remainingLag:   time.Hour,
 		remainingBytes: 5,
 	}
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -47,7 +47,7 @@
 	acceptErrors       uint64
 	lastAcceptErrorLog time.Time
 
-	pause acceptPause
+	gate system.PauseGate // paused while no connection is accepted
 }
 
 // Accept returns the next connection, which is a *Conn. If the limit is reached, Accept makes room by evicting a
@@ -61,7 +61,7 @@
 // net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		l.pause.await()
+		l.gate.Wait()
 		raw, err := l.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // accepting was paused
 			continue
--- a/internal/emulator/endpoint/endpoint.go
+++ b/internal/emulator/endpoint/endpoint.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"oakproxy/internal/emulator/httpconn"
+	"oakproxy/internal/system"
 )
 
 const acceptRetryDelay = 5 * time.Millisecond // pause after a failed accept
@@ -28,8 +29,8 @@
 	connections httpconn.Set
 	counters    counters
 	recentIDs   idWindow
-	pauseGate   pauseGate      // paused while the endpoint hangs or is disconnected
-	serving     sync.WaitGroup // goroutines that accept or serve connections
+	pauseGate   system.PauseGate // paused while the endpoint hangs or is disconnected
+	serving     sync.WaitGroup   // goroutines that accept or serve connections
 
 	mu          sync.Mutex
 	acceptor    *acceptor // nil while the simulated process is down
--- a/internal/emulator/endpoint/incarnation.go
+++ b/internal/emulator/endpoint/incarnation.go
@@ -33,19 +33,19 @@
 	e.acceptor = nil
 	e.connections.ResetAll()
 	e.unreachable = false
-	e.pauseGate.resume()
+	e.pauseGate.Resume()
 }
 
 // suspend blocks all goroutines that accept or serve connections. The caller holds e.mu.
 func (e *Endpoint) suspend() {
-	e.pauseGate.pause()
+	e.pauseGate.Pause()
 	e.acceptor.pause()
 }
 
 // resume ends the effect of suspend. The caller holds e.mu.
 func (e *Endpoint) resume() {
 	e.acceptor.resume()
-	e.pauseGate.resume()
+	e.pauseGate.Resume()
 }
 
 // incarnation returns the queue of the current incarnation, and whether the endpoint is draining.
--- a/internal/emulator/endpoint/serve.go
+++ b/internal/emulator/endpoint/serve.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	c.WakeAt(time.Time{})
-	e.pauseGate.wait()
+	e.pauseGate.Wait()
 	request, err := c.ReadRequest()
 	if err != nil {
 		return false
@@ -83,7 +83,7 @@
 // response. If the client disconnects or sends a byte before that, complete returns an error and writes no response.
 func (e *Endpoint) complete(c *httpconn.Conn, q *queue, t *task, id string) error {
 	err := c.AwaitWake()
-	e.pauseGate.wait()
+	e.pauseGate.Wait()
 	state := q.finish(t)
 	switch {
 	case err != nil:
@@ -150,7 +150,7 @@
 func (e *Endpoint) accept(a *acceptor) {
 	defer e.serving.Done()
 	for {
-		e.pauseGate.wait()
+		e.pauseGate.Wait()
 		socket, err := a.accept()
 		var timeout net.Error
 		switch {
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -54,9 +54,7 @@
 func (t *requestTable) removeIfDone(r *request) {
 	if _, found := t.byID[r.id]; found && r.finished && r.inFlight == 0 {
 		delete(t.byID, r.id)
-		if r.memory != nil {
-			r.memory.Release()
-		}
+		r.memory.Release()
 	}
 }
 
@@ -66,7 +64,7 @@
 type request struct {
 	id           uint64
 	message      *upstream.Request     // the request to forward
-	memory       *httpmsg.SharedMemory // memory of message, of which the table is an owner; nil in some tests
+	memory       *httpmsg.SharedMemory // memory of message, of which the table is an owner
 	deadline     balancer.Micros       // time by which the final response is due
 	response     chan finalResponse    // channel for the final response, with room for it; sent to at most once
 	finished     bool                  // whether a final response was chosen, or the client is gone; see requestTable.finish
