--- a/internal/downstream/conn_test.go
+++ b/internal/downstream/conn_test.go
@@ -169,13 +169,9 @@
 		_, err := c.Read(make([]byte, 1))
 		readErr <- err
 	}()
-	select {
-	case err := <-readErr:
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Errorf("Read returned %v, want %v", err, os.ErrDeadlineExceeded)
-		}
-	case <-time.After(sidecartest.WaitTimeout):
-		t.Error("Read still waits, want the end of the connection's expiry")
+	err := sidecartest.Receive(t, "the read to end with the connection's expiry", readErr)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("Read returned %v, want %v", err, os.ErrDeadlineExceeded)
 	}
 }
 
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -260,23 +260,16 @@
 			t.Errorf("%s pause: %d connections are open, want none", when, n)
 		}
 		l.SetPaused(false)
-		select {
-		case c := <-accepted:
-			c.Close()
-			client.Close()
-			sidecartest.Await(t, "the connection to be released", func() bool { return l.Count() == 0 })
-		case <-time.After(sidecartest.WaitTimeout):
-			t.Fatalf("%s pause: the connection is not accepted after it", when)
-		}
+		c := sidecartest.Receive(t, "the connection to be accepted after the "+when+" pause", accepted)
+		c.Close()
+		client.Close()
+		sidecartest.Await(t, "the connection to be released", func() bool { return l.Count() == 0 })
 	}
 	l.SetPaused(true)
+	sidecartest.Await(t, "Accept to be woken", func() bool { return counted.inProgress.Load() == 0 })
 	l.Close()
-	select {
-	case err := <-ended:
-		if !errors.Is(err, net.ErrClosed) {
-			t.Errorf("Accept of a listener that is closed in a pause returned %v, want %v", err, net.ErrClosed)
-		}
-	case <-time.After(sidecartest.WaitTimeout):
-		t.Error("Accept of a listener that is closed in a pause does not return")
+	err := sidecartest.Receive(t, "Accept of a listener that is closed in a pause to return", ended)
+	if !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Accept of a listener that is closed in a pause returned %v, want %v", err, net.ErrClosed)
 	}
 }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -318,7 +318,8 @@
 func TestBodyMemoryIsLimited(t *testing.T) {
 	e := newServingEndpoint(t)
 	h := start(t, nil, ready("s-1", e.Address))
-	h.loop.upstream.Memory.Bodies.Used.Add(h.loop.upstream.Memory.Bodies.Limit.Load())
+	const bodyShare = 8 // the part of the memory for bodies, an eighth
+	h.loop.upstream.Memory.Bodies.Used.Add(int64(h.loop.cfg.Limits.MemoryMB) << 20 / bodyShare)
 	if got := h.send(h.request("pay", "x", 3*time.Second)); got.code != http.StatusServiceUnavailable ||
 		got.header.Get("Retry-After") == "" {
 		t.Errorf("body memory used up: got %+v, want 503 with Retry-After", got)
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -217,3 +217,35 @@
 		}
 	}
 }
+
+// Guards against memory that is counted as free while it is in use: the body and the head of a request whose client has
+// gone, as long as its attempt goes on.
+func TestMemoryOfAnAbandonedRequestStaysReserved(t *testing.T) {
+	release := make(chan struct{})
+	e := sidecartest.NewEndpoint(t, sidecartest.BlockPay(release))
+	h := start(t, func(settings map[string]any) {
+		settings["limits"].(map[string]any)["cancel"] = false
+	}, ready("s-1", e.Address))
+	const body = "body"
+	conn := h.dial()
+	fmt.Fprintf(conn, "%sX-Correlation-Id: 1\r\nContent-Length: %d\r\n%s\r\n%s", sidecartest.PayHead, len(body),
+		shortLines(longestHeadBytes-(1<<10)), body)
+	h.awaitRequests(e, 1)
+	memory := h.loop.upstream.Memory
+	heads := memory.Heads.Used.Load()
+	if bodies := memory.Bodies.Used.Load(); heads == 0 || bodies != int64(len(body)) {
+		t.Errorf("%d bytes are reserved for heads and %d for bodies, want some and %d", heads, bodies, len(body))
+	}
+	conn.Close()
+	h.awaitClientGone()
+	h.await("the handler and the connection to end", func() bool {
+		return h.server.openRequests() == 0 && h.server.clients.Count() == 0
+	})
+	if got, bodies := memory.Heads.Used.Load(), memory.Bodies.Used.Load(); got != heads || bodies != int64(len(body)) {
+		t.Errorf("%d and %d bytes are reserved while the attempt goes on, want %d and %d", got, bodies, heads, len(body))
+	}
+	close(release)
+	h.await("the memory to be released", func() bool {
+		return memory.Heads.Used.Load() == 0 && memory.Bodies.Used.Load() == 0
+	})
+}
--- a/internal/system/doc.go
+++ b/internal/system/doc.go
@@ -1,5 +1,5 @@
 // Package system wraps the system calls, clocks and file operations that the sidecar needs beyond the standard library,
-// and distinguishes transient errors from permanent ones.
+// and distinguishes transient errors from permanent ones. PauseGate pauses goroutines.
 //
 // These invariants hold:
 //
