--- a/cmd/sidecar/termination_test.go
+++ b/cmd/sidecar/termination_test.go
@@ -64,14 +64,20 @@
 // sent, and timeLeft is the remaining time that it states in X-Time-Left-Ms.
 type lateRequest struct {
 	id, method, class string
+	key               string // value of Idempotency-Key; empty for none
 	delay, timeLeft   time.Duration
 	conn              net.Conn
 	reader            *bufio.Reader
 }
 
 func (r *lateRequest) write() error {
+	key := ""
+	if r.key != "" {
+		key = "Idempotency-Key: " + r.key + "\r\n"
+	}
 	_, err := fmt.Fprintf(r.conn, "%s /%s HTTP/1.1\r\nHost: api\r\nX-Service-Class: %s\r\nX-Correlation-Id: %s\r\n"+
-		"X-Time-Left-Ms: %d\r\nContent-Length: 0\r\n\r\n", r.method, r.class, r.class, r.id, r.timeLeft.Milliseconds())
+		"X-Time-Left-Ms: %d\r\n%sContent-Length: 0\r\n\r\n", r.method, r.class, r.class, r.id,
+		r.timeLeft.Milliseconds(), key)
 	return err
 }
 
