Relay what has arrived of a chunk, in place of waiting until the buffer is full

What callers saw: of an answer in one long chunk, the sidecar held up to 32 KiB back until as many had arrived.

Cause: the relay read the body through net/http, whose decoder of chunks reads on within a chunk until the caller's buffer is full. Bodies by length, and those that the end of the connection ends, are returned as they arrive.

--- a/internal/upstream/bodystream.go
+++ b/internal/upstream/bodystream.go
@@ -24,7 +24,7 @@
 // newBodyStream returns a stream of the part of a body that follows the buffered beginning, result.body.
 func newBodyStream(p *pool, c *conn, result *exchangeResult) *BodyStream {
 	remaining := httpmsg.MaxBodyBytes - int64(len(result.body))
-	return &BodyStream{pool: p, conn: c, body: result.response.Body, remaining: remaining}
+	return &BodyStream{pool: p, conn: c, body: result.bodyReader, remaining: remaining}
 }
 
 // Read reads from the body. It fails if the body exceeds httpmsg.MaxBodyBytes, or if no byte arrives within
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -10,12 +11,13 @@
 
 // exchangeResult is a response that was read completely or, if stream is not nil, up to a point within its body.
 type exchangeResult struct {
-	response  *http.Response
-	body      []byte      // the complete body or, if stream is not nil, its buffered beginning
-	stream    *BodyStream // the remainder of the body; nil if body is complete
-	release   func()      // releases the memory reserved for the head and body
-	writtenAt time.Time   // when the whole request or, if it has an upload, only its head was written
-	reusable  bool        // whether the connection may carry another request after the response
+	response   *http.Response
+	bodyReader io.Reader   // reads the body, in place of response.Body
+	body       []byte      // the complete body or, if stream is not nil, its buffered beginning
+	stream     *BodyStream // the remainder of the body; nil if body is complete
+	release    func()      // releases the memory reserved for the head and body
+	writtenAt  time.Time   // when the whole request or, if it has an upload, only its head was written
+	reusable   bool        // whether the connection may carry another request after the response
 }
 
 // exchange writes one request on a connection and reads the response or, if the response is streamed, its beginning. It
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	result := &exchangeResult{response: response,
+	result := &exchangeResult{response: response, bodyReader: newBodyReader(response, c.reader),
 		release: func() { u.Memory.Heads.Release(httpmsg.HeadReservation(&head)) }}
 	defer func() {
 		if err != nil {
@@ -53,7 +53,7 @@
 		return nil, errBodyTooLarge
 	}
 	if response.StatusCode != http.StatusOK {
-		err = discardBody(response)
+		err = discardBody(result.bodyReader)
 	} else if !hasUnambiguousFraming(response, head) {
 		err = errAmbiguousFraming
 	} else {
@@ -135,8 +135,8 @@
 
 // discardBody reads and discards the body of a response that is not forwarded. It fails if the body is larger than
 // httpmsg.MaxBufferedBytes.
-func discardBody(response *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, httpmsg.MaxBufferedBytes+1))
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, httpmsg.MaxBufferedBytes+1))
 	if err == nil && n > httpmsg.MaxBufferedBytes {
 		err = errBodyTooLarge
 	}
@@ -167,7 +167,7 @@
 	start := time.Now()
 	body := make([]byte, 0, size)
 	for {
-		n, err := result.response.Body.Read(body[len(body):size])
+		n, err := result.bodyReader.Read(body[len(body):size])
 		body = body[:len(body)+n]
 		result.body = body
 		switch {
