Await a response that has begun for the client's time, not for 0.1 s of silence

Unsafe requests got 502; safe ones were sent again, cut off again, and got 503.

The class: a limit on one wait that stands for a guess about the peer, and is shorter than the time of the one who waits.

If a response that has begun is silent, the balancer decides (decideStalled): it gives the attempt up once for each request, if a retry is allowed, has an endpoint, and gets at least as much time as the attempt had, a second or more. The end of a context can't hit a connection any more that a stream has taken over.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -69,6 +69,25 @@
 	return true
 }
 
+// replacement returns the endpoint to which r could be sent in place of an attempt, or nil if there is none
+// that is expected to respond by the deadline. The attempt may still be in flight.
+func (a *admission) replacement(now Micros, r *request, replaced *attempt) *endpoint {
+	inFlight := replaced.inFlight
+	replaced.inFlight = false // the rules are asked about the time after its end
+	e := a.picker.pick(now, r, replaced.endpoint)
+	replaced.inFlight = inFlight
+	if e == nil || now+Micros(a.estimates.latency(now, e, r.work)) >= r.Deadline {
+		return nil
+	}
+	return e
+}
+
+// replace sends r in place of an attempt that has ended, and reports whether it did.
+func (a *admission) replace(now Micros, r *request, replaced *attempt) bool {
+	e := a.replacement(now, r, replaced)
+	return e != nil && a.ledger.send(now, r, e)
+}
+
 // tooLate reports whether r is rejected because e, the best endpoint, is predicted to answer it too late for
 // the work to be worthwhile.
 //
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -197,6 +197,17 @@
 	}
 }
 
+// HandleStalledResponse decides on an attempt whose response has begun if its endpoint is silent. Nothing of
+// the response was forwarded to the client yet. If the result is StallGiveUp, the host must end the attempt
+// and report its outcome as Reset.
+func (b *Balancer) HandleStalledResponse(now Micros, id uint64, attempt int) StallDecision {
+	r := b.ledger.lookup(id)
+	if r == nil || r.answered || attempt < 0 || attempt >= len(r.attempts) || !r.attempts[attempt].inFlight {
+		return StallKeep
+	}
+	return b.retries.decideStalled(now, r, &r.attempts[attempt])
+}
+
 // HandleBodyWritten handles the sending of the last byte of a streamed request body. The latency of the
 // request and of its attempt is measured from then on, and the deadline is replaced by the given one.
 func (b *Balancer) HandleBodyWritten(now Micros, id uint64, deadline Micros) {
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -83,3 +83,17 @@
 	BodyConsumed bool // the host no longer has the complete body, so the request can't be sent again
 	LoadReport   []float32
 }
+
+// StallDecision says what the host does with an attempt whose response has begun and makes no progress.
+type StallDecision uint8
+
+// The values of StallDecision.
+const (
+	// StallKeep means that no other attempt takes the place of this one. The host forwards to the client what
+	// has arrived and what still arrives, as soon as it can.
+	StallKeep StallDecision = iota
+	// StallWait means that the host waits and forwards nothing, and asks again later.
+	StallWait
+	// StallGiveUp means that the host ends the attempt. The request is then sent again.
+	StallGiveUp
+)
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -20,6 +20,7 @@
 	streaming        bool    // a streamed response has begun, so no other attempt may follow
 	isTrial          bool    // the request was sent although its answer was predicted to come too late
 	bodyConsumed     bool    // the body can't be sent again
+	replacesStalled  bool    // an attempt was given up because its response stalled
 	awaitingProbes   bool
 	awaitedEndpoints []*endpoint // endpoints whose probes the request waits for
 }
@@ -37,6 +38,7 @@
 	suspectedLost         bool    // the attempt was found overdue, and its endpoint was probed
 	declaredLost          bool    // an answer is unlikely but may still come; a hedged request is permitted
 	warming               bool    // the endpoint was warming up at sending time
+	givenUp               bool    // the attempt was given up because its response stalled
 	inFlight              bool    // the attempt has no outcome yet
 	mayHaveExecuted       bool    // the endpoint may have executed the attempt, or may yet execute it
 	bodyWritten           bool    // the last byte of the request body was sent
--- a/balancer/retries.go
+++ b/balancer/retries.go
@@ -21,6 +21,10 @@
 	overdueFactor         = 2.5
 	minOverdueShare       = 0.25
 	overdueRecheckDivisor = 2
+
+	// minStallPatience is the least time for which an attempt whose response has begun is awaited, before a
+	// retry takes its place. Sound endpoints pause within a response, too.
+	minStallPatience = second
 )
 
 // budget is a token bucket that limits attempts in proportion to requests, as in Finagle's retry budget. Its
@@ -104,6 +108,31 @@
 	}
 }
 
+// decideStalled decides on an attempt whose response has begun and makes no progress. It can't be known
+// whether the endpoint goes on. At most one attempt of each request is given up, and only if a retry is
+// possible and gets at least as much time as the attempt had: a request then keeps its response even if each
+// endpoint is merely slow.
+func (t *retrier) decideStalled(now Micros, r *request, a *attempt) StallDecision {
+	if !t.mayReplaceStalled(r, a) || r.Deadline-now < now-a.sentAt {
+		return StallKeep
+	}
+	if now-a.sentAt < minStallPatience {
+		return StallWait
+	}
+	if t.admission.replacement(now, r, a) == nil {
+		return StallKeep
+	}
+	r.replacesStalled, a.givenUp = true, true
+	return StallGiveUp
+}
+
+// mayReplaceStalled reports whether a retry may take the place of an attempt whose response stalls, if there
+// is an endpoint for it.
+func (t *retrier) mayReplaceStalled(r *request, a *attempt) bool {
+	return !r.replacesStalled && !r.StreamingBody && r.idempotency != NonIdempotent &&
+		t.settings.Limits.CancelAttempts && t.retryBudget >= 1 && r.Deadline-a.sentAt >= 2*minStallPatience
+}
+
 // recordLoss updates the loss rate with an attempt that has ended. The attempt was lost if it was declared
 // lost and then cancelled. It was also lost if it timed out and its endpoint has answered a later attempt, or
 // has responded to nothing since the attempt was sent.
@@ -114,12 +143,15 @@
 	t.lossRate.add(indicator(lost), lossRateWeight)
 }
 
-// retry sends r again after a failed attempt. If it can't, it rejects r, unless another attempt is in flight.
+// retry sends r again after a failed attempt. An attempt that was given up because its response stalled is
+// replaced whatever the throttle and the circuit breakers say: its endpoint may have been about to go on. If
+// retry can't send r, it rejects r, unless another attempt is in flight.
 // The retry is charged to the budget only if the failed attempt may have executed; otherwise the endpoint did
 // no work for that attempt.
 func (t *retrier) retry(now Micros, r *request, failed *attempt) {
 	cost := budget(indicator(failed.mayHaveExecuted))
-	if t.retryBudget >= cost && t.admission.startAttempt(now, r) {
+	if failed.givenUp && t.admission.replace(now, r, failed) ||
+		t.retryBudget >= cost && t.admission.startAttempt(now, r) {
 		t.retryBudget -= cost
 		return
 	}
--- a/balancer/retries_test.go
+++ b/balancer/retries_test.go
@@ -145,3 +145,74 @@
 		}
 	}
 }
+
+// Guards against a sound response that is cut off because its endpoint pauses: an attempt whose response has begun may be
+// given up only if a retry is allowed and has at least as much time, and only once for each request.
+func TestStalledResponseIsGivenUpOnlyForARetryWithTime(t *testing.T) {
+	const sentAt, longTime = 1000, 3 * second
+	for name, c := range map[string]struct {
+		class    uint8
+		timeLeft Micros
+		after    Micros // time from the send of the attempt to the question
+		change   func(*Balancer)
+		want     StallDecision
+	}{
+		"at once":                       {0, longTime, second / 10, nil, StallWait},
+		"after a second":                {0, longTime, second, nil, StallGiveUp},
+		"after half of the time":        {0, longTime, longTime / 2, nil, StallGiveUp},
+		"after more than half":          {0, longTime, longTime/2 + 1, nil, StallKeep},
+		"little time, at once":          {0, 2*second - 1, second / 10, nil, StallKeep},
+		"little time, after a second":   {0, 2*second - 1, second, nil, StallKeep},
+		"with a key, within its window": {1, longTime, second, widenWindows, StallGiveUp},
+		"with a key, after its window":  {1, longTime, second, nil, StallKeep},
+		"not idempotent":                {4, longTime, second, nil, StallKeep},
+		"attempts can't be cancelled": {0, longTime, second,
+			func(b *Balancer) { b.settings.Limits.CancelAttempts = false }, StallKeep},
+		"no retry left in the budget": {0, longTime, second, func(b *Balancer) { b.retries.retryBudget = 0 }, StallKeep},
+		"no other endpoint": {0, longTime, second, func(b *Balancer) {
+			b.HandleEndpoints(sentAt, ListFull, nil)
+		}, StallKeep},
+	} {
+		b, r := startBalancer(t, testSettings(), readyEndpoints(4))
+		in := testRequest(1, c.class, sentAt)
+		in.Deadline = sentAt + c.timeLeft
+		b.HandleRequest(sentAt, in)
+		if c.change != nil {
+			c.change(b)
+		}
+		if got := b.HandleStalledResponse(sentAt+c.after, 1, 0); got != c.want {
+			t.Errorf("%s: got decision %d, want %d", name, got, c.want)
+		}
+		if len(r.sends) != 1 {
+			t.Errorf("%s: got %d attempts while the first is in flight, want 1", name, len(r.sends))
+		}
+	}
+}
+
+// widenWindows makes the deduplication windows of all classes longer than any time in the test.
+func widenWindows(b *Balancer) {
+	for _, r := range b.ledger.requests {
+		r.class.DeduplicationWindow = 10 * second
+	}
+}
+
+// Guards against a request that loses its response because its attempt was given up, and the circuit breakers then
+// reject the retry. Its second attempt is never given up.
+func TestGivenUpAttemptIsReplaced(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(4))
+	in := testRequest(1, 0, 1000)
+	in.Deadline = 1000 + 4*second
+	b.HandleRequest(1000, in)
+	now := 1000 + second
+	if got := b.HandleStalledResponse(now, 1, 0); got != StallGiveUp {
+		t.Fatalf("got decision %d, want %d", got, StallGiveUp)
+	}
+	b.breakers.recentAttempts.requests, b.breakers.recentAttempts.lastTrialAt = 1e9, now
+	b.HandleOutcome(now, Outcome{ID: 1, Attempt: 0, Endpoint: r.sends[0].endpoint, Status: Reset, Latency: second})
+	if len(r.sends) != 2 || r.sends[1].endpoint == r.sends[0].endpoint {
+		t.Fatalf("got the attempts %v, rejected %v; want a second one at another endpoint", r.sends, r.rejected)
+	}
+	if got := b.HandleStalledResponse(now+second, 1, 1); got != StallKeep {
+		t.Errorf("got decision %d on the second attempt, want %d", got, StallKeep)
+	}
+}
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -30,7 +30,9 @@
 	go func() {
 		result := upstream.Result{Status: balancer.NotSent}
 		if target != nil {
-			result = l.upstream.Attempt(ctx, target, r.message, gate)
+			result = l.upstream.Attempt(ctx, target, r.message, gate, func() balancer.StallDecision {
+				return l.decideStalled(ctx, r, outcome.Attempt)
+			})
 		}
 		cancel()
 		l.events.post(func(at balancer.Micros) {
@@ -47,6 +49,23 @@
 	}()
 }
 
+// decideStalled asks the balancer about an attempt whose response has begun and makes no progress. It waits for the
+// loop's goroutine, at most until ctx ends.
+func (l *loop) decideStalled(ctx context.Context, r *request, attempt int) balancer.StallDecision {
+	decided := make(chan balancer.StallDecision, 1)
+	l.events.post(func(now balancer.Micros) {
+		decision := l.balancer.HandleStalledResponse(now, r.id, attempt)
+		l.trace(r, "response stalled", "number", attempt, "decision", decision)
+		decided <- decision
+	})
+	select {
+	case decision := <-decided:
+		return decision
+	case <-ctx.Done():
+		return balancer.StallKeep
+	}
+}
+
 // Reject responds with status 503, which tells the client that a retry is harmless. If retryAfter is not 0, the
 // response also tells the client how long to wait before a retry.
 func (l *loop) Reject(id uint64, retryAfter balancer.Micros) {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -31,6 +31,7 @@
 	HandleEndpoints(now balancer.Micros, kind balancer.ListUpdate, entries []balancer.Endpoint)
 	HandleRequest(now balancer.Micros, in balancer.Request)
 	HandleBodyWritten(now balancer.Micros, id uint64, deadline balancer.Micros)
+	HandleStalledResponse(now balancer.Micros, id uint64, attempt int) balancer.StallDecision
 	HandleOutcome(now balancer.Micros, o balancer.Outcome)
 	HandleClientGone(now balancer.Micros, id uint64)
 	HandleTimer(now balancer.Micros, token uint32)
--- a/internal/upstream/bodystream.go
+++ b/internal/upstream/bodystream.go
@@ -7,8 +7,9 @@
 	"oakproxy/internal/httpmsg"
 )
 
-// streamStallTimeout limits how long a read of a streamed response body waits for a byte.
-const streamStallTimeout = 5 * time.Second
+// maxStreamSilence limits how long a relayed response may be silent, or until its client's deadline if that is later. It
+// is longer than a partition of the network, after which the endpoint goes on.
+const maxStreamSilence = 7 * time.Second
 
 // BodyStream is the remainder of a response body that is forwarded as it arrives. The stream owns the connection until
 // the stream is closed. The reader of the stream must close it exactly once.
@@ -27,8 +28,8 @@
 	return &BodyStream{pool: p, conn: c, body: result.bodyReader, remaining: remaining}
 }
 
-// Read reads from the body. It fails if the body exceeds httpmsg.MaxBodyBytes, or if no byte arrives within
-// streamStallTimeout.
+// Read reads what has arrived of the body, or waits for it. It fails if the body exceeds httpmsg.MaxBodyBytes, or if the
+// endpoint is silent for longer than maxStreamSilence and the client's deadline.
 func (s *BodyStream) Read(p []byte) (int, error) {
 	n, err := s.body.Read(p)
 	if s.remaining -= int64(n); s.remaining < 0 {
@@ -41,7 +42,6 @@
 // Close returns the connection to the pool. The connection is closed instead if part of the body was not read, if bytes
 // follow the body, or if the connection is not reusable for another reason.
 func (s *BodyStream) Close() {
-	s.conn.stallTimeout = 0
-	s.conn.SetReadDeadline(time.Time{})
+	s.conn.limitReads(readLimits{})
 	s.pool.release(s.conn, s.complete && s.reusable && s.conn.reader.Buffered() == 0)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -84,8 +84,10 @@
 }
 
 // Attempt sends a request once and returns the outcome. The outcome states that the request never ran only if the last
-// byte was not written or the endpoint's response says so. In any other case the request may have run.
-func (u *Client) Attempt(ctx context.Context, endpoint *Endpoint, request *Request, gate *Gate) Result {
+// byte was not written or the endpoint's response says so. In any other case the request may have run. stalled is called
+// when the response has begun and makes no progress; it may be nil.
+func (u *Client) Attempt(ctx context.Context, endpoint *Endpoint, request *Request, gate *Gate,
+	stalled StallFunc) Result {
 	var exchanged *exchangeResult
 	var start time.Time
 	err := errStaleConnection
@@ -95,7 +97,7 @@
 			return Result{Status: unsentStatus(ctx, connectErr), Err: connectErr}
 		}
 		start = time.Now()
-		exchanged, err = u.exchange(ctx, c, request, gate)
+		exchanged, err = u.exchange(ctx, c, request, gate, stalled)
 	}
 	r := Result{Status: balancer.EndpointError, Err: err, Elapsed: time.Since(start)}
 	r.Times = stages.AttemptTimes{Connected: start, Received: start.Add(r.Elapsed)}
@@ -128,7 +130,7 @@
 	if len(u.CurrentFormat.Load().fields) > 0 {
 		request.URL.Path = "/stats"
 	}
-	r := u.Attempt(ctx, endpoint, request, &Gate{})
+	r := u.Attempt(ctx, endpoint, request, &Gate{}, nil)
 	if r.Status == balancer.OK {
 		r.Load, r.ReportFormat = u.ParseLoadReport(string(r.Body))
 		r.close()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"oakproxy/internal/system"
@@ -32,10 +33,10 @@
 	readLimit io.LimitedReader
 
 	// ctx is the context of the current exchange. It is a field because Read and uploadWriter.Write have no context
-	// parameter, and they must notice a cancellation after they have overwritten the deadline that interrupt set.
+	// parameter, and they must notice a cancellation after they have overwritten the deadline that interruptOn set.
 	ctx context.Context
-	// stallTimeout limits how long a read waits for a byte. Zero means no limit.
-	stallTimeout time.Duration
+	// readLimits limits how long a read waits for a byte.
+	readLimits readLimits
 
 	idleSince time.Time // when the connection was last returned to the pool
 	used      bool      // whether the connection has carried a request before
@@ -49,19 +50,67 @@
 	return c
 }
 
-// Read reads from the connection. If stallTimeout is set, Read fails when no byte arrives within that time.
+// readLimits limits how long a read from a connection waits for a byte. The zero value sets no limit.
+type readLimits struct {
+	maxSilence time.Duration // limit on the wait of each read; 0 means that the read ends at notBefore
+	notBefore  time.Time     // the wait does not end earlier, however long it is
+	notAfter   time.Time     // the wait does not end later; the zero value means that there is no such time
+}
+
+// deadline returns the deadline of a read that begins now. It is zero if there is no limit.
+func (l *readLimits) deadline(now time.Time) time.Time {
+	deadline := l.notBefore
+	if l.maxSilence > 0 && now.Add(l.maxSilence).After(deadline) {
+		deadline = now.Add(l.maxSilence)
+	}
+	if !l.notAfter.IsZero() && (deadline.IsZero() || deadline.After(l.notAfter)) {
+		deadline = l.notAfter
+	}
+	return deadline
+}
+
+// limitReads sets the limits of later reads. It must not be called while a read is in progress.
+func (c *conn) limitReads(limits readLimits) {
+	if limits == (readLimits{}) && c.readLimits != limits {
+		c.SetReadDeadline(time.Time{})
+	}
+	c.readLimits = limits
+}
+
+// Read reads from the connection. It fails if no byte arrives within the connection's readLimits; a later read may
+// succeed.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.stallTimeout > 0 {
-		c.SetReadDeadline(time.Now().Add(c.stallTimeout))
-		if err := c.ctx.Err(); err != nil {
-			return 0, err // the deadline that interrupt has set may have been overwritten
-		}
+	if deadline := c.readLimits.deadline(time.Now()); !deadline.IsZero() {
+		c.SetReadDeadline(deadline)
+	}
+	if err := c.ctx.Err(); err != nil {
+		return 0, err // the deadline that interruptOn has set may have been overwritten
 	}
 	return c.Conn.Read(p)
 }
 
-// interrupt makes any read or write in progress fail, and all later ones until a new deadline is set.
-func (c *conn) interrupt() { c.SetDeadline(time.Unix(1, 0)) }
+// interruptOn makes any read or write fail from the end of ctx on. The caller must call the returned function, after which
+// the end of ctx has no effect on the connection any more, and the deadlines of the connection are not set.
+func (c *conn) interruptOn(ctx context.Context) (stop func()) {
+	var mu sync.Mutex // held while the deadlines are changed
+	stopped := false
+	unregister := context.AfterFunc(ctx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !stopped {
+			c.SetDeadline(time.Unix(1, 0))
+		}
+	})
+	return func() {
+		if unregister() {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		c.SetDeadline(time.Time{})
+	}
+}
 
 // alive reports whether an idle connection is open and has nothing to read. An endpoint may close an idle connection at
 // any time. A request that is written on a closed connection is lost: its outcome is a reset, which does not show
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,20 +23,23 @@
 // exchange writes one request on a connection and reads the response or, if the response is streamed, its beginning. It
 // owns the connection until its end. If the result has a stream, the stream owns the connection from then on; otherwise
 // exchange releases the connection.
-func (u *Client) exchange(ctx context.Context, c *conn, request *Request, gate *Gate) (
+func (u *Client) exchange(ctx context.Context, c *conn, request *Request, gate *Gate, stalled StallFunc) (
 	result *exchangeResult, err error) {
 	c.ctx, c.readLimit.N = ctx, maxResponseHeadBytes+httpmsg.MaxBufferedBytes
-	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
-	defer func() { err = u.finishExchange(ctx, c, result, err, stopInterrupt) }()
+	stopInterrupt := c.interruptOn(ctx)
+	defer func() {
+		stopInterrupt()
+		u.finishExchange(c, result, err)
+	}()
 
 	if err := u.sendRequest(ctx, c, request, gate); err != nil {
 		return nil, err
 	}
 	writtenAt := time.Now()
 	if request.Upload != nil {
-		result, err = u.exchangeUpload(ctx, c, request)
+		result, err = u.exchangeUpload(ctx, c, request, stalled)
 	} else {
-		result, err = u.readResponse(c, request.Method)
+		result, err = u.readResponse(c, request.Method, stalled)
 	}
 	if err != nil {
 		return nil, err
@@ -67,7 +70,8 @@
 
 // exchangeUpload sends the upload of a request and reads the response. After the upload's last byte is written, the
 // client's remaining time limits the exchange.
-func (u *Client) exchangeUpload(ctx context.Context, c *conn, request *Request) (result *exchangeResult, err error) {
+func (u *Client) exchangeUpload(ctx context.Context, c *conn, request *Request, stalled StallFunc) (
+	result *exchangeResult, err error) {
 	if err := u.sendUpload(ctx, c, request); err != nil {
 		return nil, err
 	}
@@ -77,42 +81,27 @@
 	responseCtx, cancel := context.WithDeadline(ctx, upload.Deadline())
 	defer cancel()
 	c.ctx = responseCtx
-	stopInterrupt := context.AfterFunc(responseCtx, c.interrupt)
+	stopInterrupt := c.interruptOn(responseCtx)
 	defer func() {
-		if stopInterrupt() {
-			return
-		}
-		if result != nil {
-			result.reusable = false
-		}
+		stopInterrupt()
 		if err != nil && deadlinePassed(responseCtx) {
 			err = errResponseTimeout
 		}
 	}()
-	return u.readResponse(c, request.Method)
+	return u.readResponse(c, request.Method, stalled)
 }
 
-// finishExchange ends an exchange and returns its error. It hands the connection to the result's stream or releases it.
-// stopInterrupt prevents the call of conn.interrupt that is registered for the end of ctx, and reports whether it did.
-// If that call has already begun, it may set the connection's deadline at any later time, so the connection must not be
-// used again.
-func (u *Client) finishExchange(ctx context.Context, c *conn, result *exchangeResult, err error,
-	stopInterrupt func() bool) error {
-	c.stallTimeout = 0
-	interruptStopped := stopInterrupt()
-	reusable := interruptStopped && err == nil && result.reusable
+// finishExchange ends an exchange. It hands the connection to the result's stream or releases it. The end of the
+// exchange's context must have no effect on the connection any more: the stream has no deadline but its own limits.
+func (u *Client) finishExchange(c *conn, result *exchangeResult, err error) {
+	reusable := err == nil && result.reusable
 	if err == nil && result.stream != nil {
-		if interruptStopped {
-			result.stream.reusable = reusable
-			c.ctx, c.stallTimeout = context.Background(), streamStallTimeout
-			return nil
-		}
-		result.release()
-		err = ctx.Err()
-	}
-	if reusable {
-		c.SetReadDeadline(time.Time{})
+		deadline, _ := c.ctx.Deadline()
+		c.ctx = context.Background()
+		c.limitReads(readLimits{maxSilence: maxStreamSilence, notBefore: deadline})
+		result.stream.reusable = reusable
+		return
 	}
+	c.limitReads(readLimits{})
 	u.release(c, reusable)
-	return err
 }
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -203,7 +203,7 @@
 		return &unsentError{err}
 	}
 	c.SetDeadline(time.Time{})
-	// The deadline that c.interrupt sets when ctx is cancelled may have been overwritten, so ctx itself is checked.
+	// The deadline that c.interruptOn sets when ctx is cancelled may have been overwritten, so ctx itself is checked.
 	return ctx.Err()
 }
 
@@ -228,7 +228,7 @@
 	}
 	w.conn.SetWriteDeadline(w.upload.pieceDeadline(time.Now()))
 	if err := w.conn.ctx.Err(); err != nil {
-		return 0, err // the deadline that interrupt has set may have been overwritten
+		return 0, err // the deadline that interruptOn has set may have been overwritten
 	}
 	return w.conn.Conn.Write(p)
 }
