Keep the connections that clients use open while a crowd connects

What callers saw: while hundreds of clients connected that wrote slowly, stopped half way or read long answers slowly, others lost the connections that they had used all the time, and got 503 or nothing on new ones.

Cause: two rules against a crowd hit its victims. Beyond MaxUsed connections that had begun a request, each response closed its connection, and half-sent requests counted. And at the connection limit the one that had been silent longest was evicted; while a crowd connects, that is a connection in use, some milliseconds after its last response. The class: a limit on all that is paid by whoever is there, in place of those who use it up.

Change: a connection counts as used after its first response. Beyond MaxUsed only connections on their first request are closed, and beyond twice that, the third of the descriptors that clients may hold, all.

--- /dev/null
+++ b/cmd/sidecar/soundclients_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// privateMemoryKB returns the memory in KB that a process has to itself: without the pages of files, such as the program.
+func privateMemoryKB(t *testing.T, pid int) (kb int) {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		for _, name := range []string{"RssAnon:", "RssShmem:"} {
+			if value, ok := strings.CutPrefix(line, name); ok {
+				n, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
+				if err != nil {
+					t.Fatal(err)
+				}
+				kb += n
+			}
+		}
+	}
+	return kb
+}
+
+// soundClients are clients that keep their connections open and send one request after another on each.
+type soundClients struct {
+	address  string
+	stopping chan struct{}
+	clients  sync.WaitGroup
+
+	served, rejected atomic.Int64
+	mu               sync.Mutex    // guards the fields below
+	failures         []string      // requests without a final answer in time, and ends of connections
+	slowest          time.Duration // longest time until a response was complete
+}
+
+// soundTimeLeft is the time that sound clients wait, and soundGrace how much later a final answer may come.
+const (
+	soundTimeLeft = 300 * time.Millisecond
+	soundGrace    = 500 * time.Millisecond
+)
+
+// startSoundClients opens the connections of the clients, which use them until stop is called.
+func startSoundClients(t *testing.T, address string, count int) *soundClients {
+	t.Helper()
+	s := &soundClients{address: address, stopping: make(chan struct{})}
+	for i := range count {
+		s.clients.Add(1)
+		go s.client(i)
+	}
+	return s
+}
+
+func (s *soundClients) client(number int) {
+	defer s.clients.Done()
+	var conn net.Conn
+	var reader *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-s.stopping:
+			if conn != nil {
+				conn.Close()
+			}
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", s.address); err != nil {
+				s.fail("dial: %v", err)
+				return
+			}
+			reader = bufio.NewReader(conn)
+		}
+		sent := time.Now()
+		conn.SetDeadline(sent.Add(5 * time.Second))
+		fmt.Fprintf(conn, "GET /read HTTP/1.1\r\nHost: api\r\nX-Service-Class: read\r\nX-Correlation-Id: sound-%d-%d-%d\r\n"+
+			"X-Time-Left-Ms: %d\r\n\r\n", number, i, sent.UnixNano(), soundTimeLeft.Milliseconds())
+		response, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		took := time.Since(sent)
+		s.mu.Lock()
+		s.slowest = max(s.slowest, took)
+		s.mu.Unlock()
+		switch {
+		case err != nil:
+			s.fail("request %d of client %d: no response after %v: %v", i, number, took, err)
+		case took > soundTimeLeft+soundGrace:
+			s.fail("request %d of client %d: answered after %v", i, number, took)
+		case response.Close:
+			s.fail("request %d of client %d: the response closes the connection", i, number)
+		case response.StatusCode == http.StatusServiceUnavailable:
+			s.rejected.Add(1)
+		case response.StatusCode != http.StatusOK:
+			s.fail("request %d of client %d: status %d after %v", i, number, response.StatusCode, took)
+		default:
+			s.served.Add(1)
+		}
+		if err != nil || response.Close {
+			conn.Close()
+			conn = nil
+		}
+	}
+}
+
+func (s *soundClients) fail(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = append(s.failures, fmt.Sprintf(format, args...))
+}
+
+// maxRejectedShare is the largest share of the requests of sound clients that may be rejected, for the load of the others.
+const maxRejectedShare = 0.1
+
+// stop ends the clients. It fails the test for each request that got no final answer in time, for each connection that the
+// sidecar closed, and if too many requests were rejected.
+func (s *soundClients) stop(t *testing.T) {
+	t.Helper()
+	close(s.stopping)
+	s.clients.Wait()
+	for i, failure := range s.failures {
+		if i < 10 {
+			t.Error(failure)
+		}
+	}
+	served, rejected := s.served.Load(), s.rejected.Load()
+	if float64(rejected) > maxRejectedShare*float64(served+rejected) {
+		t.Errorf("got %d of %d requests of sound clients rejected", rejected, served+rejected)
+	}
+	t.Logf("sound clients: %d requests served, %d rejected, %d failed, slowest %v",
+		served, rejected, len(s.failures), s.slowest)
+}
+
+// highestMemoryKB returns the most memory in KB that a process has to itself until done is closed.
+func highestMemoryKB(t *testing.T, pid int, done <-chan struct{}) (highest int) {
+	t.Helper()
+	for {
+		highest = max(highest, privateMemoryKB(t, pid))
+		select {
+		case <-done:
+			return highest
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -32,7 +32,7 @@
 	state        connState     // changed only by listener.setState
 	listElement  *list.Element // the entry in listener.waiting (stateWaiting) or listener.closing (stateClosing); else nil
 	lastActivity time.Time     // latest of these times: accept, last bytes read, end of the last request
-	used         bool          // a request has begun on the connection
+	used         bool          // a request and its response are complete
 
 	mu sync.Mutex // guards the fields below
 
@@ -170,10 +170,6 @@
 		return false
 	}
 	c.Requests++
-	if !c.used {
-		c.used = true
-		c.listener.used++
-	}
 	return true
 }
 
@@ -193,7 +189,10 @@
 func (c *Conn) EndRequest() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.listener.setState(c, stateWaiting)
+	if c.listener.setState(c, stateWaiting) && !c.used {
+		c.used = true
+		c.listener.used++
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.releaseHeadMemory()
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -40,7 +40,7 @@
 
 	mu                 sync.Mutex // guards the fields below and some fields of Conn; taken before Conn.mu
 	open               int        // the number of open connections, rejected and half-closed ones included
-	used               int        // the number of open connections on which a request has begun
+	used               int        // the number of open connections that have carried a request and its response
 	waiting            list.List  // every *Conn in stateWaiting, ordered by lastActivity, the earliest first
 	closing            list.List  // every *Conn in stateClosing, ordered by the time of the half-close, the earliest first
 	closeCounts        CloseCounts
@@ -116,7 +116,13 @@
 	return accepted
 }
 
-// evictOne closes one connection that carries no request, and reports whether there was one. The caller holds l.mu.
+// minUsedIdle is how long a connection that has carried a request is kept open without the next one. The protocol allows
+// closing it after that time.
+const minUsedIdle = 2 * time.Second
+
+// evictOne closes one connection that carries no request, and reports whether there was one. The connections that clients
+// use are kept, up to twice MaxUsed: a crowd of new connections must not cost clients the ones that they have. The caller
+// holds l.mu.
 func (l *Listener) evictOne() bool {
 	if e := l.closing.Front(); e != nil {
 		c := e.Value.(*Conn)
@@ -125,7 +131,9 @@
 		return true
 	}
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*Conn); c.tryEvict() {
+		c := e.Value.(*Conn)
+		inUse := c.used && l.used <= 2*l.MaxUsed && time.Since(c.lastActivity) < minUsedIdle
+		if !inUse && c.tryEvict() {
 			l.closeCounts[closedEvicted]++
 			l.setState(c, stateReleased)
 			c.Conn.Close()
@@ -163,13 +171,18 @@
 	return l.MaxConnections, l.MaxUsed
 }
 
-// OverUsedLimit reports whether more than MaxUsed open connections have carried a request, so that responses should
-// close their connections. Some clients send one request and then keep the connection open indefinitely. The number of
-// connections that all clients together may open is limited, so such connections would leave none for the next request.
-func (l *Listener) OverUsedLimit() bool {
+// OverUsedLimit reports whether too many open connections have carried a request, so that the response on c should close
+// c. Some clients send one request and then keep the connection open indefinitely. The number of connections that all
+// clients together may open is limited, so such connections would leave none for the next request. Beyond MaxUsed, only
+// connections on their first request are closed; beyond twice MaxUsed, all are.
+func (l *Listener) OverUsedLimit(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.used > l.MaxUsed
+	used := l.used
+	if !c.used {
+		used++
+	}
+	return used > l.MaxUsed && (c.Requests <= 1 || used > 2*l.MaxUsed)
 }
 
 // Count returns the number of open connections, half-closed and rejected ones included.
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -124,7 +124,8 @@
 	if !conn.BeginRequest() { // the connection was just closed to make room for a new one
 		panic(http.ErrAbortHandler)
 	}
-	if nothingFollows := conn.FinishRequestRead(in.ContentLength); !nothingFollows || s.draining() {
+	nothingFollows := conn.FinishRequestRead(in.ContentLength)
+	if !nothingFollows || s.draining() || s.clients.OverUsedLimit(conn) {
 		w.Header().Set("Connection", "close")
 	}
 	if !s.acceptsRequests() {
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -22,7 +22,7 @@
 	if upload := r.message.Upload; upload != nil {
 		bodyPending = !upload.ReachedEOF.Load() || !conn.FinishRequestRead(upload.Length)
 	}
-	if extraBytes || bodyPending || s.clients.OverUsedLimit() || s.draining() {
+	if extraBytes || bodyPending || s.clients.OverUsedLimit(conn) || s.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	if response.remainder == nil {
