Give each request body 4 KiB of memory that large bodies can't use up

What callers saw: while other clients had sent half of large requests, requests with a body of 212 bytes got 503 and lost their connection, for 2.5 s.

Cause: one budget for all bodies, from which a request reserved its whole length before it was read, or 64 KiB if the length was unknown. 64 half requests used it up at 32 MB. Heads have an allowance for this; bodies had none.

One of unknown length reserves the rest when it turns out longer.

--- a/internal/httpmsg/budget.go
+++ b/internal/httpmsg/budget.go
@@ -12,7 +12,7 @@
 // MemoryBudgets are the budgets for all that peers, clients and endpoints can make the sidecar keep. They are separate,
 // so that a lack of one kind of memory does not affect messages that need another kind.
 type MemoryBudgets struct {
-	Bodies MemoryBudget // buffered bodies of requests and responses
+	Bodies MemoryBudget // buffered bodies of responses, and of requests beyond BodyAllowance
 	Heads  MemoryBudget // heads of requests and responses beyond HeadAllowance
 	Chunks MemoryBudget // buffers of ChunkBytes through which bodies are forwarded
 }
@@ -59,6 +59,10 @@
 // sum of the allowances.
 const HeadAllowance = 8 << 10
 
+// BodyAllowance is the memory in bytes that the body of each request may use without a reservation, as HeadAllowance is
+// for heads.
+const BodyAllowance = 4 << 10
+
 // HeadReservation returns the number of bytes to reserve for the part of a head that was scanned.
 func HeadReservation(head *HeadScanner) int64 { return max(0, head.Memory()-HeadAllowance) }
 
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -34,6 +34,7 @@
 	message    *upstream.Request
 	times      stages.RequestTimes
 	memory     *httpmsg.SharedMemory // memory of the head and the buffered body
+	bodyMemory int64                 // bytes that are reserved for the body
 	clientLeft <-chan struct{}       // channel closed when the client disconnects and net/http cannot detect it; may be nil
 }
 
@@ -59,27 +60,17 @@
 		rejectInvalid(w, in, err)
 		return
 	}
-	reserved := int64(httpmsg.MaxBufferedBytes)
-	if in.ContentLength >= 0 {
-		reserved = min(reserved, in.ContentLength)
-	}
-	budgets := s.loop.upstream.Memory
-	if !budgets.Bodies.Reserve(reserved) {
-		rejectUnread(w, in, finalResponse{code: http.StatusServiceUnavailable, retryAfter: busyRetryAfter.Microseconds()})
-		return
-	}
-	headMemory := x.conn.TakeHeadMemory()
-	x.memory = httpmsg.NewSharedMemory(func() {
-		budgets.Heads.Release(headMemory)
-		budgets.Bodies.Release(reserved)
-	})
+	x.takeMemory(s.loop.upstream.Memory)
 	defer x.memory.Release()
-	if in.ContentLength < 0 || in.ContentLength > reserved {
+	if in.ContentLength < 0 || in.ContentLength > httpmsg.MaxBufferedBytes {
 		x.conn.TrackLastByte(x.times.Arrived.Add(-age), in.ContentLength)
 	}
 	stream := downstream.NewBody(x.conn, in)
-	body, complete, err := readBody(stream, reserved, in.ContentLength)
+	body, complete, err := x.readBody(stream, &s.loop.upstream.Memory.Bodies)
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		rejectUnread(w, in, finalResponse{code: http.StatusServiceUnavailable, retryAfter: busyRetryAfter.Microseconds()})
+		return
 	case (err != nil || !complete) && s.admission.isClosed():
 		rejectUnread(w, in, unsentResponse)
 		return
@@ -149,13 +140,55 @@
 	return req, nil
 }
 
-// readBody reads at most limit bytes of a request's body, and reports whether they are the complete body. length is the
-// request's Content-Length, -1 if unknown. A body is complete if it has the known length, or if its length is unknown
-// and its end was read as io.EOF. io.ReadFull is not used because it returns io.ErrUnexpectedEOF both for a truncated
-// chunked body and for a complete body that is shorter than limit.
-func readBody(r io.Reader, limit, length int64) (body []byte, complete bool, err error) {
+// errNoBodyMemory is the error of readBody if the memory for bodies is used up.
+var errNoBodyMemory = errors.New("no memory for the body of the request")
+
+// takeMemory makes the exchange responsible for the memory of the request's head, and for what readBody reserves.
+func (x *exchange) takeMemory(budgets *httpmsg.MemoryBudgets) {
+	headMemory := x.conn.TakeHeadMemory()
+	x.memory = httpmsg.NewSharedMemory(func() {
+		budgets.Heads.Release(headMemory)
+		budgets.Bodies.Release(x.bodyMemory)
+	})
+}
+
+// readBody reads the request's body, at most httpmsg.MaxBufferedBytes of it, and reports whether that is the complete
+// body. It reserves the memory beyond httpmsg.BodyAllowance, as soon as it knows that the body is longer.
+func (x *exchange) readBody(stream io.Reader, budget *httpmsg.MemoryBudget) (body []byte, complete bool, err error) {
+	const size = httpmsg.MaxBufferedBytes
+	if length := x.in.ContentLength; length >= 0 {
+		if !x.reserveBody(min(size, length), budget) {
+			return nil, false, errNoBodyMemory
+		}
+		return readBody(stream, nil, min(size, length), length)
+	}
+	body, complete, err = readBody(stream, nil, httpmsg.BodyAllowance, -1)
+	if err != nil || complete {
+		return body, complete, err
+	}
+	if !x.reserveBody(size, budget) {
+		return nil, false, errNoBodyMemory
+	}
+	return readBody(stream, body, size, -1)
+}
+
+// reserveBody reserves the memory for size bytes of the body beyond the allowance, and reports whether it did.
+func (x *exchange) reserveBody(size int64, budget *httpmsg.MemoryBudget) bool {
+	missing := max(0, size-httpmsg.BodyAllowance)
+	if !budget.Reserve(missing) {
+		return false
+	}
+	x.bodyMemory = missing
+	return true
+}
+
+// readBody continues to read a request's body, of which the beginning has been read, up to limit bytes in all. It reports
+// whether they are the complete body. length is the request's Content-Length, -1 if unknown. A body is complete if it has
+// the known length, or if its length is unknown and its end was read as io.EOF. io.ReadFull is not used because it returns
+// io.ErrUnexpectedEOF both for a truncated chunked body and for a complete body that is shorter than limit.
+func readBody(r io.Reader, beginning []byte, limit, length int64) (body []byte, complete bool, err error) {
 	body = make([]byte, limit)
-	n := 0
+	n := copy(body, beginning)
 	for n < len(body) && err == nil {
 		var read int
 		read, err = r.Read(body[n:])
