Begin no attempt for a client that may have left behind many unread bytes

Cause: to notice that a client disconnects, the sidecar reads what follows the request, but at most 1 MiB. The end of the connection comes only after all bytes that the client's socket holds; behind more than 1 MiB it was never seen, and the client counted as connected.

If still more follow, the client counts as disconnected for new attempts: clients send one request at a time, so nothing sound is lost.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -50,6 +50,7 @@
 	responseWritten  bool          // something was written since the start of the request
 	awaitingResponse bool          // a complete request was read and its response has not begun
 	pipelined        bool          // bytes were read after a complete request; they are not served
+	endUnseen        bool          // so many bytes follow the request that a disconnect behind them is not noticed
 	disconnected     chan struct{} // closed on a disconnect after pipelined bytes; nil before NotifyDisconnect
 
 	// Whether the connection may be read, and how it is closed.
@@ -208,10 +209,11 @@
 }
 
 // ClientClosed reports whether the client has closed its side of the connection or the connection is broken, even if
-// there are still bytes to read before the end.
+// there are still bytes to read before the end. It also reports true if that can't be known, because of the bytes that
+// follow the request.
 func (c *Conn) ClientClosed() bool {
 	c.mu.Lock()
-	alreadyClosed := c.peerClosed
+	alreadyClosed, endUnseen := c.peerClosed, c.endUnseen
 	c.mu.Unlock()
 	if alreadyClosed {
 		return true
@@ -220,7 +222,7 @@
 	case system.PeekClosed:
 		return true
 	case system.PeekData:
-		return system.PeerClosed(c.Conn)
+		return endUnseen || system.PeerClosed(c.Conn)
 	}
 	return false
 }
--- a/internal/downstream/pipelining.go
+++ b/internal/downstream/pipelining.go
@@ -5,8 +5,9 @@
 	"os"
 )
 
-// maxPipelinedBytes limits how many bytes are read after a request to notice that the client disconnects.
-const maxPipelinedBytes = 1 << 20
+// maxPipelinedBytes limits how many bytes are read after a request to notice that the client disconnects. It exceeds what
+// sockets hold of a client that has closed its connection.
+const maxPipelinedBytes = maxClientSendBuffer + maxReceiveBuffer + 1<<20
 
 // NotifyDisconnect marks that a complete request was read and awaits its response. nothingFollows must be the result of
 // FinishRequestRead, which is true if no bytes after the request were read. The returned channel is closed if the
@@ -33,8 +34,9 @@
 }
 
 // startDisconnectWatch marks that bytes after the request were read, and starts a goroutine that discards up to
-// maxPipelinedBytes more until the client disconnects. The goroutine ends at the latest when the connection is closed
-// after the response. startDisconnectWatch does nothing if the goroutine was already started. The caller holds c.mu.
+// maxPipelinedBytes more until the client disconnects. If more follow, it can't be known whether the client disconnects
+// behind them, so it counts as disconnected for new attempts. The goroutine ends at the latest when the connection is
+// closed after the response. startDisconnectWatch does nothing if the goroutine was already started. The caller holds c.mu.
 func (c *Conn) startDisconnectWatch() {
 	if c.pipelined {
 		return
@@ -44,7 +46,10 @@
 		err := c.discard(maxPipelinedBytes)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case err == nil:
+			c.endUnseen = true
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.peerClosed = true
 			close(c.disconnected)
 		}
@@ -53,9 +58,10 @@
 
 // discard reads and drops bytes until at least limit bytes were read, or a read fails, whose error it returns.
 func (c *Conn) discard(limit int) error {
-	var chunk [1 << 10]byte
+	chunk, release := c.listener.Memory.Chunk()
+	defer release()
 	for limit > 0 {
-		n, err := c.Conn.Read(chunk[:])
+		n, err := c.Conn.Read(chunk)
 		if err != nil {
 			return err
 		}
