Remember the ids of requests that may have run, also for the next process

Cause: the sidecar compared an id with those of open requests of its own process only. The class: a rule about what has happened, kept by state about what is open.

Change: a request claims its id before it is passed on (internal/requestids). The claim is released if no attempt can have run; otherwise the id gets 409 from then on. The registry has a fixed size, a thirty-second of the memory, in a file that the processes of an upgrade map and change atomically.

TestLargeBodiesAreStreamed used one id twice.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -71,6 +71,9 @@
 	NotSent              // the attempt was never sent
 )
 
+// NeverExecuted reports whether the status proves that the attempt did not execute and never will.
+func (s Status) NeverExecuted() bool { return s == Rejected || s == ConnectFailed || s == NotSent }
+
 // Outcome is the result of an attempt. LoadReport is valid only during the call of HandleOutcome; no decision
 // depends on it.
 type Outcome struct {
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -162,7 +162,7 @@
 	} else {
 		a.endpoint.uploading--
 	}
-	if o.Status == Rejected || o.Status == ConnectFailed || o.Status == NotSent {
+	if o.Status.NeverExecuted() {
 		a.mayHaveExecuted = false
 	}
 	if responded(o.Status) {
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -232,26 +231,6 @@
 	}
 }
 
-// A request is rejected with 409 while another one with the same X-Correlation-Id is in flight, and served afterwards.
-func TestDuplicateCorrelationIDIsRejected(t *testing.T) {
-	release := make(chan struct{})
-	e := sidecartest.NewEndpoint(t, sidecartest.BlockAll(release))
-	h := start(t, nil, ready("s-1", e.Address))
-	first, duplicate := make(chan reply), h.request("pay", "", time.Minute)
-	go func() { first <- h.send(duplicate.Clone(context.Background())) }()
-	h.awaitRequests(e, 1)
-	if got := h.send(duplicate.Clone(context.Background())); got.code != http.StatusConflict {
-		t.Errorf("the duplicate: got %+v, want 409", got)
-	}
-	close(release)
-	if got := <-first; got.code != http.StatusOK {
-		t.Errorf("the first request: got %+v, want 200", got)
-	}
-	if got := h.send(duplicate); got.code != http.StatusOK {
-		t.Errorf("after the first request: got %+v, want 200", got)
-	}
-}
-
 // Silent connections must neither block new ones nor use up the descriptors that attempts need. Beyond the connection
 // limit, the connection that has been silent longest is closed. One with a request in flight stays open.
 func TestClientConnectionsAreLimited(t *testing.T) {
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -8,6 +8,7 @@
 
 	"oakproxy/balancer"
 	"oakproxy/internal/downstream"
+	"oakproxy/internal/requestids"
 )
 
 // waitEnd says how a handler's wait for the final response has ended.
@@ -36,11 +37,22 @@
 		return
 	}
 	defer s.inFlight.remove(openReq)
+	switch s.ids.Claim(openReq.id, x.repeatIsHarmful()) {
+	case requestids.Duplicate:
+		rejectInvalid(x.w, x.in,
+			downstream.NewRequestError(http.StatusConflict, "a request with this X-Correlation-Id may have run"))
+		return
+	case requestids.Full:
+		rejectUnread(x.w, x.in,
+			finalResponse{code: http.StatusServiceUnavailable, retryAfter: busyRetryAfter.Microseconds()})
+		return
+	}
 	if upload != nil {
 		defer upload.Finish()
 	}
 	r := &request{response: make(chan finalResponse, 1), message: x.message,
-		memory: x.memory, clientClosed: x.conn.ClientClosed, times: x.times}
+		memory: x.memory, clientClosed: x.conn.ClientClosed, times: x.times,
+		releaseClientID: func() { s.ids.Release(openReq.id) }}
 	r.memory.Retain()
 	s.admit(r, x.request)
 	response, end := s.awaitResponse(x, r)
@@ -63,6 +75,11 @@
 	}
 }
 
+// repeatIsHarmful reports whether the request must not be executed twice.
+func (x *exchange) repeatIsHarmful() bool {
+	return x.request.ReceivedUnder.Classes[x.request.Class].Idempotency != balancer.Idempotent
+}
+
 // uploadDeadlineGrace is how much later than the attempt the handler ends an upload that is overdue. If the attempt has
 // begun, it ends first, and the balancer learns that the endpoint is too slow.
 const uploadDeadlineGrace = 20 * time.Millisecond
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -45,8 +45,9 @@
 }
 
 // endAttempt records that one of the attempts of a request has an outcome.
-func (t *requestTable) endAttempt(r *request) {
+func (t *requestTable) endAttempt(r *request, status balancer.Status) {
 	r.inFlight--
+	r.mayHaveExecuted = r.mayHaveExecuted || !status.NeverExecuted()
 	t.removeIfDone(r)
 }
 
@@ -55,6 +56,9 @@
 	if _, found := t.byID[r.id]; found && r.finished && r.inFlight == 0 {
 		delete(t.byID, r.id)
 		r.memory.Release()
+		if !r.mayHaveExecuted {
+			r.releaseClientID()
+		}
 	}
 }
 
@@ -72,6 +76,9 @@
 	inFlight     int         // number of attempts without an outcome; see requestTable.beginAttempt
 	clientClosed func() bool // function that reports whether the client has closed its connection
 	times        stages.RequestTimes
+
+	mayHaveExecuted bool   // whether an attempt has an outcome that does not prove that it was never executed
+	releaseClientID func() // allows the client's id to be used again; called if the request was never executed
 }
 
 // attempt is a started attempt of a request.
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -60,7 +60,8 @@
 func (s *steppedLoop) arrive(class uint8, body []byte) (r *request, waits bool) {
 	now := s.clock.now()
 	r = &request{response: make(chan finalResponse, 1), memory: httpmsg.NewSharedMemory(func() {}),
-		clientClosed: func() bool { return false },
+		releaseClientID: func() {},
+		clientClosed:    func() bool { return false },
 		message: &upstream.Request{Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Body: body,
 			Header: http.Header{"X-Correlation-Id": {"1"}}}}
 	s.admit(now, r, balancer.Request{Class: class, Deadline: now + time.Minute.Microseconds()})
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -49,6 +49,7 @@
 	s := newServer(l)
 	s.setProcessCount(1)
 	if cfg.InheritedSocket != "" {
+		s.shareIDs(cfg.Host.Directory)
 		s.acquireSlot(ctx, cfg.Host.Directory)
 		go s.followPeers(loopCtx, cfg.Host.Directory)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 	"oakproxy/internal/config"
 	"oakproxy/internal/downstream"
 	"oakproxy/internal/handover"
+	"oakproxy/internal/requestids"
 )
 
 // Limits of clients' connections and requests.
@@ -47,7 +48,10 @@
 	// request, each response ends its connection.
 	usedConnectionsDivisor = 6
 
-	busyRetryAfter = time.Second // Retry-After of a request that is rejected because the memory for bodies is used up
+	// idMemoryDivisor is the part of the memory for the ids of requests: the memory divided by this.
+	idMemoryDivisor = 32
+
+	busyRetryAfter = time.Second // Retry-After of a request that is rejected because some memory is used up
 	minConnections = 12          // lowest connection limit of each process, however few descriptors there are
 )
 
@@ -60,7 +64,8 @@
 	clients   *downstream.Listener
 	admission *requestAdmission
 	inFlight  inFlightRequests
-	overdue   atomic.Uint64 // number of uploads that were not forwarded by their forwarding deadline
+	ids       *requestids.Registry // ids of the requests that may have been executed
+	overdue   atomic.Uint64        // number of uploads that were not forwarded by their forwarding deadline
 
 	terminating       atomic.Bool   // whether shutdown has started
 	drainedByOperator atomic.Bool   // whether an operator has drained the sidecar
@@ -82,6 +87,7 @@
 
 func newServer(l *loop) *server {
 	s := &server{loop: l, log: l.log, processCount: 1, admission: newRequestAdmission(),
+		ids:         requestids.New(registryBytes(l.cfg), l.operatorClock.Uptime),
 		drainPeriod: defaultDrainPeriod,
 		clients: &downstream.Listener{Log: l.log, Memory: l.upstream.Memory, MaxConnections: maxConnections(l.cfg),
 			MaxUsed: l.cfg.Limits.Sockets / usedConnectionsDivisor}}
@@ -135,6 +141,20 @@
 	}
 }
 
+// registryBytes returns the size of the memory for the ids of requests.
+func registryBytes(cfg *config.Config) int { return cfg.Limits.MemoryMB << 20 / idMemoryDivisor }
+
+// shareIDs makes this process share the ids of requests with the other processes of this sidecar, in a file in dir. If
+// that fails, it remembers only its own.
+func (s *server) shareIDs(dir string) {
+	shared, err := requestids.OpenShared(dir, registryBytes(s.loop.cfg), s.loop.operatorClock.Uptime)
+	if err != nil {
+		s.log.Warn("ids of requests not shared", "error", err)
+		return
+	}
+	s.ids = shared
+}
+
 // maxConnections returns the limit of clients' connections. The limit of connections to endpoints is the same, because
 // a request usually has only one attempt in flight.
 func maxConnections(cfg *config.Config) int { return (cfg.Limits.Sockets - reservedSockets) / 2 }
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -44,7 +44,7 @@
 			if name == "buffered" {
 				size = httpmsg.MaxBufferedBytes
 			}
-			fmt.Fprintf(conn, "%sX-Correlation-Id: %s%d\r\n%s", sidecartest.PayHead, name[:1], i, framed)
+			fmt.Fprintf(conn, "%sX-Correlation-Id: %s%d\r\n%s", sidecartest.PayHead, name[:2], i, framed)
 			response, err := http.ReadResponse(in, nil)
 			if err == nil && response.StatusCode == http.StatusContinue {
 				response, err = http.ReadResponse(in, nil)
