Log and count why attempts end without a valid response

A line attempt failed, at most one a second, has id, class, endpoint, reason and error; the statistics count all by reason in attempt_failures; a line relayed response cut off has the id of a request whose response had begun at its client.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -223,6 +223,7 @@
 // ended, because the balancer still learns from the outcome.
 func (l *loop) handleOutcome(now balancer.Micros, r *request, outcome balancer.Outcome, result upstream.Result) {
 	l.requests.endAttempt(r, result.Status)
+	l.stats.recordFailure(r, outcome, result)
 	l.trace(r, "attempt finished", "number", outcome.Attempt, "status", outcome.Status, "error", result.Err,
 		"after_us", outcome.Latency, "over", r.finished)
 	if result.Status == balancer.OK {
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,10 +34,21 @@
 	}
 	writeBeginning := func() { writeFinalResponse(w, response) }
 	if err := downstream.Relay(w, conn, writeBeginning, response.remainder); err != nil {
+		s.logCutOff(r, conn, err)
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// logCutOff logs that a relayed response was cut off. If its client has left, that is no trouble of the endpoint.
+func (s *server) logCutOff(r *request, conn *downstream.Conn, err error) {
+	level := slog.LevelInfo
+	if conn.ClientClosed() {
+		level = slog.LevelDebug
+	}
+	s.log.Log(context.Background(), level, "relayed response cut off",
+		"id", r.message.Header.Get("X-Correlation-Id"), "class", r.message.Header.Get("X-Service-Class"), "error", err)
+}
+
 // recordStages records the times of the stages of an answered request, if the times of its attempt are known.
 func (s *server) recordStages(r *request) {
 	if r.times.Attempt.Received.IsZero() {
--- a/internal/sidecar/statistics.go
+++ b/internal/sidecar/statistics.go
@@ -1,8 +1,12 @@
 package sidecar
 
 import (
+	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/metrics"
+	"slices"
+	"strings"
 	"time"
 
 	"oakproxy/balancer"
@@ -59,6 +63,42 @@
 type statsLogger struct {
 	log  *slog.Logger
 	last counters // counters at the previous call of logSinceLast
+
+	failures        map[upstream.FailureReason]uint64 // failed attempts since the previous call of logSinceLast
+	failureLoggedAt time.Time                         // when recordFailure has logged a line last
+}
+
+// attemptLogInterval is the minimum time between two log lines about failed attempts.
+const attemptLogInterval = time.Second
+
+// recordFailure counts an attempt that has failed without a valid response. It logs those whose response was cut off or
+// given up, at most one in each attemptLogInterval.
+func (l *statsLogger) recordFailure(r *request, outcome balancer.Outcome, result upstream.Result) {
+	if result.Err == nil {
+		return
+	}
+	if l.failures == nil {
+		l.failures = map[upstream.FailureReason]uint64{}
+	}
+	l.failures[result.Reason]++
+	unusual := result.Reason != upstream.FailedLocally && result.Reason != upstream.FailedDial
+	if !unusual || time.Since(l.failureLoggedAt) < attemptLogInterval {
+		return
+	}
+	l.failureLoggedAt = time.Now()
+	l.log.Info("attempt failed", "id", r.message.Header.Get("X-Correlation-Id"),
+		"class", r.message.Header.Get("X-Service-Class"), "number", outcome.Attempt, "endpoint", outcome.Endpoint,
+		"reason", result.Reason, "error", result.Err, "after_us", outcome.Latency)
+}
+
+// takeFailures returns the failed attempts by reason since the previous call, such as "[ended:2 stalled:1]".
+func (l *statsLogger) takeFailures() string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(l.failures)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", reason, l.failures[reason]))
+	}
+	clear(l.failures)
+	return "[" + strings.Join(parts, " ") + "]"
 }
 
 // logSinceLast logs one line of statistics if there was a request since the previous call, and remembers the counters
@@ -77,7 +117,7 @@
 			"connection_limit", c.upstream.LimitReached-last.upstream.LimitReached, "connections", c.upstream.Open,
 			"event_wait_ms", float64(g.maxEventWait.Microseconds())/1000,
 			"stages_us", c.stages.MeansSince(last.stages), "client_closes", c.closes.Since(last.closes),
-			"uploads_overdue", c.overdueUploads-last.overdueUploads,
+			"uploads_overdue", c.overdueUploads-last.overdueUploads, "attempt_failures", l.takeFailures(),
 			"generation", g.inForce.Generation, "hash", g.inForce.FileHash,
 			"reloads", g.inForce.Generation-config.FirstGeneration, "reloads_rejected", g.rejectedReloads,
 			"requests_held", g.held.tableEntries, "requests_open", g.held.openRequests,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -38,6 +38,8 @@
 	Status balancer.Status
 	// Err is the reason why the attempt failed without a valid response. It is nil if a response determines Status.
 	Err error
+	// Reason is the reason of Err for statistics. It is empty if Err is nil.
+	Reason FailureReason
 	// Header and Body are the header and the body of a 200 response. If Stream is nil, Body is the complete body;
 	// otherwise Body is its buffered beginning.
 	Header http.Header
@@ -94,7 +96,8 @@
 	for errors.Is(err, errStaleConnection) { // nothing of the request was sent on the stale connection
 		c, connectErr := u.connect(ctx, endpoint, request.isProbe)
 		if connectErr != nil {
-			return Result{Status: unsentStatus(ctx, connectErr), Err: connectErr}
+			status := unsentStatus(ctx, connectErr)
+			return Result{Status: status, Err: connectErr, Reason: reasonOf(ctx, status, connectErr)}
 		}
 		start = time.Now()
 		exchanged, err = u.exchange(ctx, c, request, gate, stalled)
@@ -103,6 +106,7 @@
 	r.Times = stages.AttemptTimes{Connected: start, Received: start.Add(r.Elapsed)}
 	if err != nil {
 		r.Status = failureStatus(ctx, err)
+		r.Reason = reasonOf(ctx, r.Status, err)
 		return r
 	}
 	response := exchanged.response
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
+	"syscall"
 	"time"
 
 	"oakproxy/balancer"
@@ -77,3 +79,36 @@
 	deadline, ok := ctx.Deadline()
 	return ok && !time.Now().Before(deadline)
 }
+
+// FailureReason says in one word why an attempt has failed without a valid response, for statistics.
+type FailureReason string
+
+// The reasons why an attempt has failed without a valid response.
+const (
+	FailedLocally    FailureReason = "local"     // the sidecar did not send it, or no longer wanted it
+	FailedDial       FailureReason = "dial"      // no connection was established, or the request was not written
+	FailedByStall    FailureReason = "stalled"   // it was given up because the endpoint fell silent within its response
+	FailedByDeadline FailureReason = "deadline"  // the client's time was over
+	FailedByEnd      FailureReason = "ended"     // the endpoint ended the connection within its response or before it
+	FailedByReset    FailureReason = "reset"     // the connection was reset
+	FailedByContents FailureReason = "malformed" // the response is not valid or exceeds a limit
+)
+
+// reasonOf returns why an attempt has failed with the error err.
+func reasonOf(ctx context.Context, status balancer.Status, err error) FailureReason {
+	switch {
+	case status == balancer.NotSent || status == balancer.Cancelled:
+		return FailedLocally
+	case status == balancer.ConnectFailed:
+		return FailedDial
+	case errors.Is(err, errStalled):
+		return FailedByStall
+	case status == balancer.Timeout || deadlinePassed(ctx):
+		return FailedByDeadline
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return FailedByEnd
+	case errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+		return FailedByReset
+	}
+	return FailedByContents
+}
--- a/internal/upstream/outcome_test.go
+++ b/internal/upstream/outcome_test.go
@@ -94,6 +94,13 @@
 			if r.Status != c.want {
 				t.Errorf("status %v, want %v", r.Status, c.want)
 			}
+			if (r.Reason == "") != (r.Err == nil) {
+				t.Errorf("reason %q with error %v", r.Reason, r.Err)
+			}
+			if strings.HasPrefix(c.name, "stalled") && r.Reason != FailedByStall ||
+				strings.HasPrefix(c.name, "truncated") && r.Reason != FailedByEnd {
+				t.Errorf("reason %q, error %v", r.Reason, r.Err)
+			}
 			if r.Status == balancer.OK && string(r.Body) != "done" {
 				t.Errorf("body %q, want %q", r.Body, "done")
 			}
