Do not end a process in the middle of a response that it relays

What callers saw: if SIGKILL came later than it may, the process ended by itself half a second after the earliest time of SIGKILL, and reset the long answers that endpoints still gave.

Cause: responseGrace.

Change: while a response is relayed, the process waits for SIGKILL. The limits on the silence of endpoints (7 s) and clients (10 s a piece) end each relay, so a process that is never killed ends, too.

--- a/internal/sidecar/answering.go
+++ b/internal/sidecar/answering.go
@@ -9,8 +9,8 @@
 // nothing is in flight.
 //
 // SIGKILL may end the phase at any time from killAt on. A response that is still being relayed then ends with a reset
-// of its connection: see downstream.Relay. The process does not reset such a response earlier, because SIGKILL may be
-// late and the response may be complete by then.
+// of its connection: see downstream.Relay. The process itself never ends in the middle of a response: SIGKILL may be late,
+// and the limits on the silence of endpoints and clients end each relay.
 type answeringPhase struct {
 	server            *server
 	admissionClosedAt time.Time
@@ -54,9 +54,13 @@
 	}
 }
 
-// abortAfter reports whether the requests in flight are no longer awaited: neither their latest deadline nor SIGKILL
-// has ended them within responseGrace. It then logs them; the end of the process cuts them off.
+// abortAfter reports whether the requests in flight are no longer awaited: no response is being relayed, and neither their
+// latest deadline nor SIGKILL has ended them within responseGrace. It then logs them; the end of the process cuts them
+// off.
 func (p *answeringPhase) abortAfter(now, latestDeadline time.Time) bool {
+	if p.server.inFlight.anyRelaying() {
+		return false
+	}
 	end := latestDeadline
 	if p.killAt.After(end) {
 		end = p.killAt
--- a/internal/sidecar/inflight.go
+++ b/internal/sidecar/inflight.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,11 @@
 	return len(f.byID)
 }
 
+// anyRelaying reports whether the response to an open request has begun and is incomplete.
+func (f *inFlightRequests) anyRelaying() bool {
+	return slices.ContainsFunc(f.all(), func(r *openRequest) bool { return r.conn.Relaying() })
+}
+
 // latestDeadline returns the latest deadline of the open requests, and whether there is an open request. A response
 // must begin by the deadline, but may be relayed for longer. The deadline of an upload is computed as if its last byte
 // had arrived at admissionClosedAt, because a last byte that arrives later is not forwarded.
