--- a/internal/sidecar/stall_test.go
+++ b/internal/sidecar/stall_test.go
@@ -129,6 +129,41 @@
 	}
 }
 
+// Guards against a request that is given up at each endpoint, because each pauses for longer than a retry is waited for: the
+// response of its last attempt must be served.
+func TestResponseIsServedThoughEveryEndpointPausesLong(t *testing.T) {
+	const timeLeft, pause = 4 * time.Second, 1300 * time.Millisecond
+	large := strings.Repeat("x", httpmsg.MaxBufferedBytes+1)
+	for name, c := range map[string]struct {
+		beginning, end string
+		body           string
+	}{
+		"small":         {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndo", "ne", "done"},
+		"large":         {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(large)), large, large},
+		"chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndo", "ne\r\n0\r\n\r\n", "done"},
+		"within a head": {"HTTP/1.1 200 O", "K\r\nContent-Length: 4\r\n\r\ndone", "done"},
+	} {
+		for _, class := range []string{"read", "pay", "close", "order"} {
+			t.Run(name+", "+class, func(t *testing.T) {
+				t.Parallel()
+				serve := func(e *sidecartest.Endpoint, conn net.Conn, in *bufio.Reader) {
+					for e.ReadRequest(in) != nil {
+						io.WriteString(conn, c.beginning)
+						time.Sleep(pause)
+						io.WriteString(conn, c.end)
+					}
+				}
+				first, second := sidecartest.NewEndpoint(t, serve), sidecartest.NewEndpoint(t, serve)
+				h := start(t, nil, ready("s-1", first.Address), ready("s-2", second.Address))
+				got := h.send(h.request(class, "x", timeLeft))
+				if got.err != nil || got.code != http.StatusOK || got.body != c.body {
+					t.Errorf("got status %d, %d bytes, error %v, want 200 and %d bytes", got.code, len(got.body), got.err, len(c.body))
+				}
+			})
+		}
+	}
+}
+
 // Guards against a request that ends before its client's time is over, because a limit of the sidecar's own is shorter.
 func TestDeadlineFollowsTheClientsTime(t *testing.T) {
 	e := newServingEndpoint(t)
