Keep the retries of an open request to the smaller group of its class

Cause: restrictIdempotency compared the effect of the class only. A smaller group is as strict.

Change: a request has a scope of its own, which becomes smaller with its class, never larger. Attempts in flight outside the group of the first one are withdrawn if the first may have run.

--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -102,5 +102,6 @@
 // newRecord returns a ledger record of a request without adding it to the balancer's ledger.
 func newRecord(b *Balancer, in Request) *request {
 	class, tenant := b.demand.resolveClass(&in)
-	return &request{Request: in, class: class, idempotency: class.Idempotency, tenant: tenant}
+	return &request{Request: in, class: class, idempotency: class.Idempotency,
+		deduplicationScope: class.DeduplicationScope, tenant: tenant}
 }
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -65,7 +65,8 @@
 	underEarlierSettings := in.ReceivedUnder != nil
 	in.ReceivedUnder = nil // otherwise, the record would keep old settings from being garbage collected
 	*r = request{
-		Request: in, class: c, idempotency: c.Idempotency, tenant: t, timerToken: r.timerToken, arrivedAt: now,
+		Request: in, class: c, idempotency: c.Idempotency, deduplicationScope: c.DeduplicationScope, tenant: t,
+		timerToken: r.timerToken, arrivedAt: now,
 		attempts: r.attempts[:0], awaitedEndpoints: r.awaitedEndpoints[:0],
 	}
 	if underEarlierSettings {
--- a/balancer/reconfigure_test.go
+++ b/balancer/reconfigure_test.go
@@ -133,6 +133,46 @@
 	}
 }
 
+// Guards against a keyed request that is executed twice after a new configuration has made the group of its class smaller:
+// its retries go only to endpoints of the smaller group, its attempts in flight elsewhere are withdrawn, and its final answer
+// does not promise that a retry is harmless.
+func TestSmallerDeduplicationScopeAppliesToOpenRequests(t *testing.T) {
+	for _, scope := range []DeduplicationScope{ScopeZone, ScopeCell} {
+		narrow := func(s *Settings) { s.Classes[1].DeduplicationScope = scope } // keyed-all
+		for seed := range 20 {
+			b, r := startBalancer(t, testSettings(), readyEndpoints(8))
+			b.random = splitMix64(seed)
+			b.HandleRequest(1000, testRequest(1, 1, 1000))
+			first := r.sends[0]
+			reconfigure(t, b, narrow)
+			b.HandleOutcome(2000, Outcome{ID: 1, Endpoint: first.endpoint, Status: Reset, Latency: 1000})
+			if len(r.sends) != 2 || (r.sends[1].endpoint-1)/2 != (first.endpoint-1)/2 {
+				t.Fatalf("scope %d: got attempts %v, want one retry within the group of the first", scope, r.sends)
+			}
+			b.HandleOutcome(3000, Outcome{ID: 1, Attempt: 1, Endpoint: r.sends[1].endpoint, Status: Reset, Latency: 1000})
+			if len(r.sends) != 2 || len(r.failed) != 1 || len(r.rejected) != 0 {
+				t.Fatalf("scope %d: got attempts %v, failed %v, rejected %v; want two attempts and a failure",
+					scope, r.sends, r.failed, r.rejected)
+			}
+		}
+		b, r := startBalancer(t, testSettings(), readyEndpoints(8))
+		b.retries.lossRate.value = minHedgingLossRate
+		b.HandleRequest(1000, testRequest(1, 1, 1000))
+		first := r.sends[0]
+		for _, e := range b.membership.list() { // leave only endpoints of other groups for the hedged request
+			e.cordoned = (e.ID-1)/2 == (first.endpoint-1)/2 && e.ID != first.endpoint
+		}
+		b.membership.byID[first.endpoint].lastAnsweredSentAt = 2000
+		b.HandleTimer(500_000, r.timers[len(r.timers)-1])
+		if len(r.sends) != 2 {
+			t.Fatalf("scope %d: got attempts %v, want a hedged request", scope, r.sends)
+		}
+		if got, want := reconfigure(t, b, narrow), []AttemptID{{1, 1}}; !slices.Equal(got, want) {
+			t.Errorf("scope %d: got withdrawn attempts %v, want %v, the one outside the group", scope, got, want)
+		}
+	}
+}
+
 // If a class becomes non-idempotent and several attempts of an open request may have executed, the attempts of this
 // request that are in flight are withdrawn. If only one attempt may have executed, that attempt continues.
 func TestStricterIdempotencyWithdrawsAttempts(t *testing.T) {
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -5,9 +5,13 @@
 // request is the ledger's record of a request and its attempts.
 type request struct {
 	Request
-	class            *class      // class under which the request arrived, even if changed or removed since
-	idempotency      Idempotency // idempotency of class, or NonIdempotent if the class became stricter since
-	tenant           *tenant     // nil if the request has no known tenant
+	class       *class      // class under which the request arrived, even if changed or removed since
+	idempotency Idempotency // idempotency of class, or NonIdempotent if the class became stricter since
+
+	// deduplicationScope is that of class, or a smaller one if the class got one since.
+	deduplicationScope DeduplicationScope
+
+	tenant           *tenant // nil if the request has no known tenant
 	timerToken       uint32
 	arrivedAt        Micros
 	work             float64 // expected service time in microseconds at an endpoint without load
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -15,15 +15,20 @@
 	first := r.firstPossiblyExecuted()
 	return first == nil || r.idempotency == Idempotent ||
 		r.idempotency == IdempotentWithKey && now < l.latestStart(r, e) &&
-			r.class.DeduplicationScope.covers(first, e)
+			r.deduplicationScope.covers(first, e)
 }
 
 // covers reports whether e drops duplicates of first, the first possibly executed attempt of a request. Under
 // ScopeAll, e may be any endpoint. Under ScopeZone and ScopeCell, e must be in the zone or cell of the
 // endpoint to which first was sent.
 func (scope DeduplicationScope) covers(first *attempt, e *endpoint) bool {
-	return scope == ScopeAll || scope == ScopeZone && e.Zone == first.zone ||
-		scope == ScopeCell && e.Cell == first.cell
+	return scope.coversAttempt(first, &attempt{zone: e.Zone, cell: e.Cell})
+}
+
+// coversAttempt is like covers, for the endpoint of another attempt at the time when it was sent.
+func (scope DeduplicationScope) coversAttempt(first, other *attempt) bool {
+	return scope == ScopeAll || scope == ScopeZone && other.zone == first.zone ||
+		scope == ScopeCell && other.cell == first.cell
 }
 
 // latestStart returns the latest instant at which an attempt of r at e may start, or 0 if only the deadline
@@ -40,22 +45,31 @@
 // mayReject reports whether r may get the answer "rejected", which tells the client that a retry is harmless.
 func (l *ledger) mayReject(r *request) bool {
 	return r.idempotency == Idempotent || r.firstPossiblyExecuted() == nil ||
-		r.idempotency == IdempotentWithKey && r.class.DeduplicationScope == ScopeAll
+		r.idempotency == IdempotentWithKey && r.deduplicationScope == ScopeAll
 }
 
 // restrictIdempotency makes r non-idempotent if the class in force with the name of r's class is stricter
 // than r's idempotency. r never becomes IdempotentWithKey, since it may lack the key by which endpoints drop
-// duplicates. If r is non-idempotent and several of its attempts may have executed, restrictIdempotency
-// returns all attempts in flight, which the host must withdraw.
+// duplicates. If that class has a smaller deduplication scope, r gets it, too. If several attempts of r may
+// have executed, restrictIdempotency returns those in flight that are no longer permitted, which the host
+// must withdraw.
 func (l *ledger) restrictIdempotency(r *request) (withdrawn []AttemptID) {
-	if c := l.demand.classNamed(r.class.Name); c != nil && c.Idempotency > r.idempotency {
-		r.idempotency = NonIdempotent
+	if c := l.demand.classNamed(r.class.Name); c != nil {
+		if c.Idempotency > r.idempotency {
+			r.idempotency = NonIdempotent
+		}
+		if c.Idempotency == IdempotentWithKey {
+			r.deduplicationScope = max(r.deduplicationScope, c.DeduplicationScope)
+		}
 	}
-	if r.idempotency != NonIdempotent || r.countPossiblyExecuted() < 2 {
+	if r.idempotency == Idempotent || r.countPossiblyExecuted() < 2 {
 		return nil
 	}
+	first := r.firstPossiblyExecuted()
 	for i := range r.attempts {
-		if r.attempts[i].inFlight {
+		a := &r.attempts[i]
+		permitted := r.idempotency == IdempotentWithKey && r.deduplicationScope.coversAttempt(first, a)
+		if a.inFlight && !permitted {
 			withdrawn = append(withdrawn, AttemptID{r.ID, i})
 		}
 	}
