--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// smallRequestTimeout is the time, from the start of a request, within which its body may arrive at any rate.
+	// SmallRequestTimeout is the time, from the start of a request, within which its body may arrive at any rate.
 	// minBodyRate applies only to bodies that take longer.
-	smallRequestTimeout = 2600 * time.Millisecond
-	// maxBodyLag limits the lag of a body that takes longer than smallRequestTimeout: how much later the body arrives
+	SmallRequestTimeout = 2600 * time.Millisecond
+	// maxBodyLag limits the lag of a body that takes longer than SmallRequestTimeout: how much later the body arrives
 	// than at minBodyRate.
 	maxBodyLag = 900 * time.Millisecond
 	// minBodyRate is the lowest rate of a large body, in bytes per second. Slow clients write at twice this rate, so
@@ -23,14 +23,14 @@
 )
 
 // Body reads the body of a client's request and limits its size and duration. The body may arrive at any rate until
-// smallRequestTimeout after the start of the request. After that it may fall at most maxBodyLag behind minBodyRate.
+// SmallRequestTimeout after the start of the request. After that it may fall at most maxBodyLag behind minBodyRate.
 // Only the time that Read spends waiting for the client counts as lag. A Body must not be used by several goroutines at
 // once.
 type Body struct {
 	conn           *Conn
 	body           io.Reader
 	request        *http.Request // request whose body this is
-	smallDeadline  time.Time     // no minimum rate before this time: smallRequestTimeout after the start of the request
+	smallDeadline  time.Time     // no minimum rate before this time: SmallRequestTimeout after the start of the request
 	remainingLag   time.Duration // how much the lag behind minBodyRate may still grow: maxBodyLag less the current lag
 	remainingBytes int64         // how many bytes may still be read: httpmsg.MaxBodyBytes less the bytes read so far
 }
@@ -43,7 +43,7 @@
 		conn:           c,
 		body:           request.Body,
 		request:        request,
-		smallDeadline:  c.requestStart.Add(smallRequestTimeout),
+		smallDeadline:  c.requestStart.Add(SmallRequestTimeout),
 		remainingLag:   maxBodyLag,
 		remainingBytes: httpmsg.MaxBodyBytes,
 	}
