--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -27,6 +27,7 @@
 // too slow with its body.
 func (s *server) forward(x *exchange) {
 	openReq := newOpenRequest(x, s.loop.clock.timeAt(x.request.Deadline))
+	id := openReq.id
 	upload := x.message.Upload
 	if upload != nil {
 		openReq.isUpload, openReq.timeAfterBody = true, upload.TimeLeft
@@ -37,7 +38,7 @@
 		return
 	}
 	defer s.inFlight.remove(openReq)
-	switch s.ids.Claim(openReq.id, x.repeatIsHarmful()) {
+	switch s.ids.Claim(id, x.repeatIsHarmful()) {
 	case requestids.Duplicate:
 		rejectInvalid(x.w, x.in,
 			downstream.NewRequestError(http.StatusConflict, "a request with this X-Correlation-Id may have run"))
@@ -52,7 +53,7 @@
 	}
 	r := &request{response: make(chan finalResponse, 1), message: x.message,
 		memory: x.memory, clientClosed: x.conn.ClientClosed, times: x.times,
-		releaseClientID: func() { s.ids.Release(openReq.id) }}
+		releaseClientID: func() { s.ids.Release(id) }}
 	r.memory.Retain()
 	s.admit(r, x.request)
 	response, end := s.awaitResponse(x, r)
--- a/internal/sidecar/read.go
+++ b/internal/sidecar/read.go
@@ -34,7 +34,7 @@
 	message    *upstream.Request
 	times      stages.RequestTimes
 	memory     *httpmsg.SharedMemory // memory of the head and the buffered body
-	bodyMemory int64                 // bytes that are reserved for the body
+	bodyMemory *int64                // bytes of memory that are reserved for the body
 	clientLeft <-chan struct{}       // channel closed when the client disconnects and net/http cannot detect it; may be nil
 }
 
@@ -145,10 +145,11 @@
 
 // takeMemory makes the exchange responsible for the memory of the request's head, and for what readBody reserves.
 func (x *exchange) takeMemory(budgets *httpmsg.MemoryBudgets) {
-	headMemory := x.conn.TakeHeadMemory()
-	x.memory = httpmsg.NewSharedMemory(func() {
+	headMemory, bodyMemory := x.conn.TakeHeadMemory(), new(int64)
+	x.bodyMemory = bodyMemory
+	x.memory = httpmsg.NewSharedMemory(func() { // it must not keep the exchange, which may end earlier
 		budgets.Heads.Release(headMemory)
-		budgets.Bodies.Release(x.bodyMemory)
+		budgets.Bodies.Release(*bodyMemory)
 	})
 }
 
@@ -178,7 +179,7 @@
 	if !budget.Reserve(missing) {
 		return false
 	}
-	x.bodyMemory = missing
+	*x.bodyMemory = missing
 	return true
 }
 
--- a/internal/upstream/stall.go
+++ b/internal/upstream/stall.go
@@ -100,7 +100,9 @@
 	case balancer.StallGiveUp:
 		return errStalled
 	case balancer.StallWait:
-		m.relayFrom = laterIfSet(m.relayFrom, time.Now().Add(stallCheckInterval))
+		if canRelay {
+			m.relayFrom = time.Now().Add(stallCheckInterval)
+		}
 		return nil
 	}
 	if m.kept = true; canRelay {
@@ -108,11 +110,3 @@
 	}
 	return nil
 }
-
-// laterIfSet returns later, or the zero time if t is zero.
-func laterIfSet(t, later time.Time) time.Time {
-	if t.IsZero() {
-		return t
-	}
-	return later
-}
