Make the fields of the crowd's heads once, and count a sound client's time from its last byte

Traced: each of the 480 clients made its 30 KB of fields itself, some 4,300 calls each under the race detector, and the sound clients' time began before their request was written.

--- a/cmd/sidecar/crowd_test.go
+++ b/cmd/sidecar/crowd_test.go
@@ -27,6 +27,9 @@
 	return b.String()
 }
 
+// manyFields are the fields of the heads of a crowd, made once: hundreds of clients must not keep the test busy.
+var manyFields = shortFields(30 << 10)
+
 // trickle writes text in pieces of the given size with a pause between them, until a write fails.
 func trickle(conn net.Conn, text string, size int, pause time.Duration) {
 	for len(text) > 0 {
@@ -54,15 +57,15 @@
 
 var crowdPeers = []crowdPeer{
 	{"heads of short fields", func(conn net.Conn, number int) {
-		io.WriteString(conn, peerHead(number)+shortFields(30<<10))
+		io.WriteString(conn, peerHead(number)+manyFields)
 		io.Copy(io.Discard, conn)
 	}},
 	{"whole heads of short fields", func(conn net.Conn, number int) {
-		io.WriteString(conn, peerHead(number)+shortFields(30<<10)+"Content-Length: 0\r\n\r\n")
+		io.WriteString(conn, peerHead(number)+manyFields+"Content-Length: 0\r\n\r\n")
 		io.Copy(io.Discard, conn)
 	}},
 	{"slow heads", func(conn net.Conn, number int) {
-		trickle(conn, peerHead(number)+shortFields(30<<10)+"Content-Length: 0\r\n\r\n", 1<<10, 60*time.Millisecond)
+		trickle(conn, peerHead(number)+manyFields+"Content-Length: 0\r\n\r\n", 1<<10, 60*time.Millisecond)
 		io.Copy(io.Discard, conn)
 	}},
 	{"half large requests", func(conn net.Conn, number int) {
--- a/cmd/sidecar/soundclients_test.go
+++ b/cmd/sidecar/soundclients_test.go
@@ -100,9 +100,9 @@
 			}
 			reader = bufio.NewReader(conn)
 		}
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(conn, soundRequest(fmt.Sprintf("sound-%d-%d-%d", number, i, lastRequestID.Add(1)), i%2 == 1))
 		sent := time.Now()
-		conn.SetDeadline(sent.Add(5 * time.Second))
-		io.WriteString(conn, soundRequest(fmt.Sprintf("sound-%d-%d-%d", number, i, sent.UnixNano()), i%2 == 1))
 		response, err := http.ReadResponse(reader, nil)
 		if err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
