Let tests that start programs in parallel inherit their sockets

Traced: each form sends the id 1 to a program of its own, so the 409 shows that it reached another form's program, on the same address. freeAddress closes its listener, and another process may take the port before the program listens there, as its comment says.

The two tests that start programs in parallel now pass each a listening socket, which nobody else can take.

--- a/cmd/sidecar/longanswers_test.go
+++ b/cmd/sidecar/longanswers_test.go
@@ -118,9 +118,7 @@
 					parts = 1
 				}
 				answer := newPausingAnswer(framing, size, parts, c.lateBody)
-				listen := freeAddress(t)
-				launch(t, command(t, effectsConfig(listen, newPausingEndpoint(t, answer))))
-				awaitReady(t, listen)
+				listen := launchOnOwnSocket(t, effectsConfig("127.0.0.1:1", newPausingEndpoint(t, answer)))
 				sent := time.Now()
 				response, err := sendRequest(t, listen, c.class, "1", c.timeLeft)
 				if err != nil || response.StatusCode != http.StatusOK {
--- a/cmd/sidecar/program_test.go
+++ b/cmd/sidecar/program_test.go
@@ -122,6 +122,19 @@
 	return p
 }
 
+// launchOnOwnSocket starts a program that inherits a socket of its own, and waits until it is ready. Unlike with freeAddress,
+// no other process can take the address, so tests may do this in parallel.
+func launchOnOwnSocket(t *testing.T, config string) (address string) {
+	t.Helper()
+	socket := newPassedSocket(t)
+	cmd := command(t, config)
+	cmd.ExtraFiles = []*os.File{socket.file}
+	cmd.Env = append(cmd.Env, "BALANCER_PASSED_SOCKET=3", "TMPDIR="+socket.folder)
+	launch(t, cmd)
+	awaitReady(t, socket.address)
+	return socket.address
+}
+
 // getStatus sends a GET request on a new connection and returns the status of the response; 0 means no response.
 func getStatus(url string) int {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/cmd/sidecar/slowreader_test.go
+++ b/cmd/sidecar/slowreader_test.go
@@ -52,9 +52,7 @@
 				for class, timeLeft := range map[string]time.Duration{"post": 400 * time.Millisecond, "order": 1600 * time.Millisecond} {
 					t.Run(fmt.Sprintf("%d B/s, %d bytes, chunked %v, %s", rate, size, chunked, class), func(t *testing.T) {
 						t.Parallel()
-						listen := freeAddress(t)
-						launch(t, command(t, effectsConfig(listen, newSlowReadingEndpoint(t, rate))))
-						awaitReady(t, listen)
+						listen := launchOnOwnSocket(t, effectsConfig("127.0.0.1:1", newSlowReadingEndpoint(t, rate)))
 						conn, err := net.Dial("tcp", listen)
 						if err != nil {
 							t.Fatal(err)
